--- /dev/null
+++ b/components/config/src/document.rs
@@ -0,0 +1,450 @@
+//! Raw documents and their conversion.
+//!
+//! The raw types mirror the YAML and are private; a caller sees only checked
+//! types and failures with a line.
+
+use std::{collections, path, time};
+
+use serde::Deserialize;
+
+use crate::{failure, fleet, key, name, note, settings};
+
+/// Where a document came from, for messages.
+#[derive(Clone, Debug)]
+pub struct Origin(pub String);
+
+type Span<T> = serde_saphyr::Spanned<T>;
+type Located<T> = Result<T, (u64, failure::Problem)>;
+
+/// Reads the settings of a daemon.
+pub fn read_settings(text: &str, origin: &Origin) -> Result<settings::Settings, failure::Failure> {
+    let raw: RawSettings = parse(text, origin)?;
+    settings::Settings::try_from(raw).map_err(|e| locate(e, origin))
+}
+
+/// Reads a release note.
+pub fn read_note(text: &str, origin: &Origin) -> Result<note::Note, failure::Failure> {
+    let raw: RawNote = parse(text, origin)?;
+    note::Note::try_from(raw).map_err(|e| locate(e, origin))
+}
+
+fn locate((line, problem): (u64, failure::Problem), origin: &Origin) -> failure::Failure {
+    failure::Failure {
+        file: origin.0.clone(),
+        line,
+        problem,
+    }
+}
+
+fn parse<'a, T: Deserialize<'a>>(text: &'a str, origin: &Origin) -> Result<T, failure::Failure> {
+    serde_saphyr::from_str(text).map_err(|error| {
+        let line = error.location().map_or(0, |l| l.line());
+        let text = error.without_snippet().to_string();
+        locate((line, failure::Problem::Syntax(text)), origin)
+    })
+}
+
+fn at<T, U>(span: &Span<T>, result: Result<U, failure::Problem>) -> Located<U> {
+    result.map_err(|problem| (span.referenced.line(), problem))
+}
+
+fn checked_name(span: &Span<String>) -> Located<name::Name> {
+    at(span, name::Name::try_from(span.value.as_str()))
+}
+
+fn duration(span: &Span<String>) -> Located<time::Duration> {
+    let parsed = humantime::parse_duration(&span.value);
+    let bad = || failure::Problem::BadDuration(span.value.clone());
+    at(span, parsed.map_err(|_| bad()))
+}
+
+fn or_duration(span: Option<&Span<String>>, default: time::Duration) -> Located<time::Duration> {
+    span.map_or(Ok(default), duration)
+}
+
+fn address<T: std::str::FromStr>(span: &Span<String>) -> Located<T> {
+    let parsed = span.value.parse();
+    let bad = || failure::Problem::BadAddress(span.value.clone());
+    at(span, parsed.map_err(|_| bad()))
+}
+
+fn within(span: &Span<u64>, what: &'static str, low: u64, high: u64) -> Located<u64> {
+    if (low..=high).contains(&span.value) {
+        return Ok(span.value);
+    }
+    let problem = failure::Problem::OutOfRange(what, low, high);
+    Err((span.referenced.line(), problem))
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSettings {
+    vm: Span<String>,
+    address: Span<String>,
+    domain: Span<String>,
+    region: Span<String>,
+    listen: Span<String>,
+    peer: Span<String>,
+    admin: Span<String>,
+    platform: String,
+    credentials: RawCredentials,
+    tls: Option<RawTls>,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    timing: RawTiming,
+    #[serde(default)]
+    policy: RawPolicy,
+    level: Option<Span<String>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawCredentials {
+    user: String,
+    password: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawTls {
+    certificate: path::PathBuf,
+    key: path::PathBuf,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawLimits {
+    message: Option<Span<u64>>,
+    sessions: Option<Span<u64>>,
+    startup: Option<Span<String>>,
+    idle: Option<Span<String>>,
+    wait: Option<Span<String>>,
+    queue: Option<Span<u64>>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawTiming {
+    lease: Option<Span<String>>,
+    poll: Option<Span<String>>,
+    suspect: Option<Span<String>>,
+    gossip: Option<Span<String>>,
+    refusal: Option<Span<String>>,
+    platform: Option<Span<String>>,
+    stop: Option<Span<String>>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawPolicy {
+    reads: Option<Span<String>>,
+    admission: Option<Span<String>>,
+    budget: Option<Span<String>>,
+}
+
+const fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+fn number(span: Option<&Span<u64>>, default: u64, what: &'static str, high: u64) -> Located<usize> {
+    let value = span.map_or(Ok(default), |s| within(s, what, 1, high))?;
+    Ok(usize::try_from(value).unwrap_or(usize::MAX))
+}
+
+impl TryFrom<&RawLimits> for settings::Limits {
+    type Error = (u64, failure::Problem);
+
+    fn try_from(raw: &RawLimits) -> Result<Self, Self::Error> {
+        Ok(Self {
+            message: number(raw.message.as_ref(), 1 << 20, "limits.message", 1 << 30)?,
+            sessions: number(raw.sessions.as_ref(), 4096, "limits.sessions", 1 << 20)?,
+            startup: or_duration(raw.startup.as_ref(), ms(10_000))?,
+            idle: or_duration(raw.idle.as_ref(), ms(30_000))?,
+            wait: or_duration(raw.wait.as_ref(), ms(5_000))?,
+            queue: number(raw.queue.as_ref(), 256, "limits.queue", 1 << 20)?,
+        })
+    }
+}
+
+impl TryFrom<&RawTiming> for settings::Timing {
+    type Error = (u64, failure::Problem);
+
+    fn try_from(raw: &RawTiming) -> Result<Self, Self::Error> {
+        Ok(Self {
+            lease: or_duration(raw.lease.as_ref(), ms(300))?,
+            poll: or_duration(raw.poll.as_ref(), ms(50))?,
+            suspect: or_duration(raw.suspect.as_ref(), ms(250))?,
+            gossip: or_duration(raw.gossip.as_ref(), ms(100))?,
+            refusal: or_duration(raw.refusal.as_ref(), ms(2_000))?,
+            platform: or_duration(raw.platform.as_ref(), ms(1_000))?,
+            stop: or_duration(raw.stop.as_ref(), ms(30_000))?,
+        })
+    }
+}
+
+impl TryFrom<&RawPolicy> for settings::Policy {
+    type Error = (u64, failure::Problem);
+
+    fn try_from(raw: &RawPolicy) -> Result<Self, Self::Error> {
+        let defaults = Self::default();
+        let pick =
+            |span: &Option<Span<String>>, default| span.as_ref().map_or(Ok(default), checked_name);
+        Ok(Self {
+            reads: pick(&raw.reads, defaults.reads)?,
+            admission: pick(&raw.admission, defaults.admission)?,
+            budget: pick(&raw.budget, defaults.budget)?,
+        })
+    }
+}
+
+impl TryFrom<RawSettings> for settings::Settings {
+    type Error = (u64, failure::Problem);
+
+    fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
+        let info = name::Name::try_from("info").map_err(|problem| (0, problem))?;
+        Ok(Self {
+            vm: checked_name(&raw.vm)?,
+            address: address(&raw.address)?,
+            domain: checked_name(&raw.domain)?,
+            region: checked_name(&raw.region)?,
+            listen: address(&raw.listen)?,
+            peer: address(&raw.peer)?,
+            admin: address(&raw.admin)?,
+            platform: raw.platform,
+            credentials: settings::Credentials {
+                user: raw.credentials.user,
+                password: raw.credentials.password,
+            },
+            tls: raw.tls.map(|tls| settings::Tls {
+                certificate: tls.certificate,
+                key: tls.key,
+            }),
+            limits: (&raw.limits).try_into()?,
+            timing: (&raw.timing).try_into()?,
+            policy: (&raw.policy).try_into()?,
+            level: raw.level.as_ref().map_or(Ok(info), checked_name)?,
+        })
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawNote {
+    note: Span<String>,
+    #[serde(default)]
+    added: RawEntries,
+    #[serde(default)]
+    changed: RawEntries,
+    #[serde(default)]
+    withdrawn: RawWithdrawn,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawEntries {
+    customers: Vec<RawCustomer>,
+    groups: Vec<RawGroup>,
+    routes: Vec<RawRoute>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawCustomer {
+    name: Span<String>,
+    rate: Span<u64>,
+    burst: Span<u64>,
+    weight: Option<Span<u64>>,
+    #[serde(default)]
+    keys: Vec<RawKey>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawKey {
+    name: Span<String>,
+    digest: Span<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawGroup {
+    name: Span<String>,
+    #[serde(default)]
+    durability: fleet::Durability,
+    instances: Vec<RawInstance>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawInstance {
+    name: Span<String>,
+    address: Span<String>,
+    domain: Span<String>,
+    connections: Span<u64>,
+    #[serde(default)]
+    leaving: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRoute {
+    name: Span<String>,
+    group: Span<String>,
+    database: String,
+    #[serde(default)]
+    customers: Vec<Span<String>>,
+    #[serde(default)]
+    open: bool,
+    age: Option<Span<String>>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawWithdrawn {
+    customers: Vec<Span<String>>,
+    keys: Vec<RawKeyName>,
+    groups: Vec<Span<String>>,
+    routes: Vec<Span<String>>,
+    instances: Vec<Span<String>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawKeyName {
+    customer: Span<String>,
+    key: Span<String>,
+}
+
+/// Largest rate, burst or connection count.
+const COUNT_LIMIT: u64 = 100_000_000;
+
+fn count(span: &Span<u64>, what: &'static str) -> Located<u32> {
+    let value = within(span, what, 1, COUNT_LIMIT)?;
+    Ok(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
+fn customer(raw: &RawCustomer) -> Located<note::Entry> {
+    let mut keys = collections::BTreeMap::new();
+    for entry in &raw.keys {
+        let digest = key::KeyDigest::try_from(entry.digest.value.clone());
+        let digest = at(&entry.digest, digest)?;
+        if keys.insert(checked_name(&entry.name)?, digest).is_some() {
+            let problem = failure::Problem::Duplicate("key", entry.name.value.clone());
+            return Err((entry.name.referenced.line(), problem));
+        }
+    }
+    let weight = raw.weight.as_ref().map_or(Ok(1), |w| count(w, "weight"))?;
+    let value = fleet::Customer {
+        rate: count(&raw.rate, "rate")?,
+        burst: count(&raw.burst, "burst")?,
+        weight,
+        keys,
+    };
+    Ok(note::Entry::Customer(checked_name(&raw.name)?, value))
+}
+
+fn instance(raw: &RawInstance) -> Located<fleet::Instance> {
+    Ok(fleet::Instance {
+        name: checked_name(&raw.name)?,
+        address: address(&raw.address)?,
+        domain: checked_name(&raw.domain)?,
+        connections: count(&raw.connections, "connections")?,
+        leaving: raw.leaving,
+    })
+}
+
+fn group(raw: &RawGroup) -> Located<note::Entry> {
+    let name = checked_name(&raw.name)?;
+    if raw.instances.is_empty() {
+        let problem = failure::Problem::EmptyGroup(name.to_string());
+        return Err((raw.name.referenced.line(), problem));
+    }
+    let instances: Result<Vec<_>, _> = raw.instances.iter().map(instance).collect();
+    let value = fleet::Group {
+        durability: raw.durability,
+        instances: instances?,
+    };
+    Ok(note::Entry::Group(name, value))
+}
+
+fn route(raw: &RawRoute) -> Located<note::Entry> {
+    let name = checked_name(&raw.name)?;
+    if raw.open != raw.customers.is_empty() {
+        let problem = failure::Problem::RouteAccess(name.to_string());
+        return Err((raw.name.referenced.line(), problem));
+    }
+    let customers: Result<collections::BTreeSet<_>, _> =
+        raw.customers.iter().map(checked_name).collect();
+    let age = or_duration(raw.age.as_ref(), time::Duration::ZERO)?;
+    let value = fleet::Route {
+        group: checked_name(&raw.group)?,
+        database: raw.database.clone(),
+        customers: customers?,
+        open: raw.open,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+    };
+    Ok(note::Entry::Route(name, value))
+}
+
+fn entries(
+    raw: &RawEntries,
+    wrap: fn(note::Entry, u64) -> note::Change,
+    changes: &mut Vec<note::Change>,
+) -> Located<()> {
+    let mut seen = collections::BTreeSet::new();
+    let mut push = |kind, name: &Span<String>, entry| {
+        let line = name.referenced.line();
+        if !seen.insert((kind, name.value.clone())) {
+            return Err((line, failure::Problem::Duplicate(kind, name.value.clone())));
+        }
+        changes.push(wrap(entry, line));
+        Ok(())
+    };
+    for raw in &raw.groups {
+        push("group", &raw.name, group(raw)?)?;
+    }
+    for raw in &raw.customers {
+        push("customer", &raw.name, customer(raw)?)?;
+    }
+    for raw in &raw.routes {
+        push("route", &raw.name, route(raw)?)?;
+    }
+    Ok(())
+}
+
+fn withdrawals(raw: &RawWithdrawn, changes: &mut Vec<note::Change>) -> Located<()> {
+    let mut push = |what, line| changes.push(note::Change::Withdraw(what, line));
+    for key in &raw.keys {
+        let what = note::Withdrawal::Key(checked_name(&key.customer)?, checked_name(&key.key)?);
+        push(what, key.key.referenced.line());
+    }
+    type Wrap = fn(name::Name) -> note::Withdrawal;
+    let lists: [(&Vec<Span<String>>, Wrap); 4] = [
+        (&raw.routes, note::Withdrawal::Route),
+        (&raw.customers, note::Withdrawal::Customer),
+        (&raw.groups, note::Withdrawal::Group),
+        (&raw.instances, note::Withdrawal::Instance),
+    ];
+    for (list, wrap) in lists {
+        for name in list {
+            push(wrap(checked_name(name)?), name.referenced.line());
+        }
+    }
+    Ok(())
+}
+
+impl TryFrom<RawNote> for note::Note {
+    type Error = (u64, failure::Problem);
+
+    fn try_from(raw: RawNote) -> Result<Self, Self::Error> {
+        let mut changes = Vec::new();
+        entries(&raw.added, note::Change::Add, &mut changes)?;
+        entries(&raw.changed, note::Change::Replace, &mut changes)?;
+        withdrawals(&raw.withdrawn, &mut changes)?;
+        Ok(Self {
+            id: checked_name(&raw.note)?,
+            changes,
+        })
+    }
+}
--- /dev/null
+++ b/components/config/src/settings.rs
@@ -0,0 +1,114 @@
+//! Settings of one daemon.
+
+use std::{net, path, time};
+
+use crate::name;
+
+/// Certificate files for callers.
+#[derive(Clone, Debug)]
+pub struct Tls {
+    /// PEM chain.
+    pub certificate: path::PathBuf,
+    /// PEM private key.
+    pub key: path::PathBuf,
+}
+
+/// The proxy's own login at the databases.
+#[derive(Clone, Debug)]
+pub struct Credentials {
+    /// Role name.
+    pub user: String,
+    /// Password.
+    pub password: String,
+}
+
+/// Bounds on callers.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Largest message of a caller, in bytes.
+    pub message: usize,
+    /// Sessions at once.
+    pub sessions: usize,
+    /// Time for the start-up exchange.
+    pub startup: time::Duration,
+    /// Time that a transaction may stay idle.
+    pub idle: time::Duration,
+    /// Time that a request may wait for a connection.
+    pub wait: time::Duration,
+    /// Requests of one customer that may wait.
+    pub queue: usize,
+}
+
+/// Periods of the control plane.
+#[derive(Clone, Debug)]
+pub struct Timing {
+    /// Validity of a term confirmation, from the sending of its poll.
+    pub lease: time::Duration,
+    /// Longest time between two polls of an instance.
+    pub poll: time::Duration,
+    /// Silence of a primary after which it is suspected.
+    pub suspect: time::Duration,
+    /// Period of the exchange with peers.
+    pub gossip: time::Duration,
+    /// Time without confirmation after which keyed requests are refused.
+    pub refusal: time::Duration,
+    /// Period of reads of the platform's rows and VM list.
+    pub platform: time::Duration,
+    /// Longest graceful stop.
+    pub stop: time::Duration,
+}
+
+/// Names of the plug-ins that decide.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    /// Choice of the instance for a read.
+    pub reads: name::Name,
+    /// Order of waiting requests.
+    pub admission: name::Name,
+    /// Movement of shares between VMs.
+    pub budget: name::Name,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        let name = |raw| name::Name::try_from(raw).expect("a plain literal");
+        Self {
+            reads: name("replica"),
+            admission: name("fair"),
+            budget: name("borrow"),
+        }
+    }
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: name::Name,
+    /// Source address of outgoing connections.
+    pub address: net::IpAddr,
+    /// Failure domain of this VM.
+    pub domain: name::Name,
+    /// Region of this VM.
+    pub region: name::Name,
+    /// Where callers connect.
+    pub listen: net::SocketAddr,
+    /// Where peers connect.
+    pub peer: net::SocketAddr,
+    /// Where operators and probes connect.
+    pub admin: net::SocketAddr,
+    /// Base URL of the platform's service.
+    pub platform: String,
+    /// Login at the databases.
+    pub credentials: Credentials,
+    /// TLS for callers, if offered.
+    pub tls: Option<Tls>,
+    /// Bounds on callers.
+    pub limits: Limits,
+    /// Periods of the control plane.
+    pub timing: Timing,
+    /// Plug-ins that decide.
+    pub policy: Policy,
+    /// Log level.
+    pub level: name::Name,
+}
--- /dev/null
+++ b/components/daemon/src/daemon.rs
@@ -0,0 +1,210 @@
+//! Start and stop of a daemon.
+
+use std::{
+    io, net, sync,
+    sync::{atomic, mpsc},
+    thread, time,
+};
+
+use kernel::event;
+
+use crate::{admin, clock, failure, session, shell, store, tls};
+
+/// Period of ticks.
+const TICK: time::Duration = time::Duration::from_millis(2);
+/// Stack of a session's thread, in bytes.
+const STACK_SIZE: usize = 128 * 1024;
+/// Period of looks at the sessions that are left at a stop.
+const STOP_PERIOD: time::Duration = time::Duration::from_millis(5);
+
+/// A daemon that runs on threads of this process.
+pub struct Running {
+    shell: sync::Arc<shell::Shell>,
+    listen: net::SocketAddr,
+    admin: net::SocketAddr,
+    peer: net::SocketAddr,
+    server: Option<sync::Arc<tiny_http::Server>>,
+    closed: sync::Arc<atomic::AtomicBool>,
+}
+
+fn bind(address: net::SocketAddr) -> Result<net::TcpListener, failure::Failure> {
+    let listen = |error: io::Error| failure::Failure::Listen(address, error.kind());
+    net::TcpListener::bind(address).map_err(listen)
+}
+
+/// The listeners of a daemon, open before its settings need to be known.
+pub struct Listeners {
+    /// For callers.
+    pub callers: net::TcpListener,
+    /// For peers.
+    pub peers: net::TcpListener,
+    /// For operators.
+    pub admin: net::TcpListener,
+}
+
+impl Listeners {
+    /// Opens the addresses of the settings.
+    pub fn open(settings: &config::Settings) -> Result<Self, failure::Failure> {
+        Ok(Self {
+            callers: bind(settings.listen)?,
+            peers: bind(settings.peer)?,
+            admin: bind(settings.admin)?,
+        })
+    }
+}
+
+impl Running {
+    /// Starts a daemon on the addresses of its settings.
+    pub fn start(settings: config::Settings) -> Result<Self, failure::Failure> {
+        let listeners = Listeners::open(&settings)?;
+        Self::start_on(settings, listeners)
+    }
+
+    /// Starts a daemon on listeners that are open already.
+    pub fn start_on(
+        settings: config::Settings,
+        listeners: Listeners,
+    ) -> Result<Self, failure::Failure> {
+        let tls = settings.tls.as_ref().map(tls::load).transpose()?;
+        let service = platform::open(&settings.platform).map_err(failure::Failure::Platform)?;
+        let service: sync::Arc<dyn platform::Service> = service.into();
+        let clock = clock::Clock::start();
+        let kernel = kernel::Daemon::new(setup(&settings), clock.now());
+        let kernel = kernel.map_err(failure::Failure::Policy)?;
+        let (calls, queue) = mpsc::channel();
+        let shell = shell::Shell::new(settings, clock, kernel, calls);
+        let unknown = |error: io::Error| failure::Failure::Thread(error.kind());
+        let running = Self {
+            listen: listeners.callers.local_addr().map_err(unknown)?,
+            admin: listeners.admin.local_addr().map_err(unknown)?,
+            peer: listeners.peers.local_addr().map_err(unknown)?,
+            server: admin::start(&shell, listeners.admin),
+            closed: sync::Arc::default(),
+            shell,
+        };
+        running.start_peers(listeners.peers)?;
+        store::start(&running.shell, service.clone(), queue);
+        store::watch(&running.shell, service);
+        running.start_ticks();
+        running.accept(listeners.callers, tls);
+        Ok(running)
+    }
+
+    fn start_peers(&self, listener: net::TcpListener) -> Result<(), failure::Failure> {
+        let weak = sync::Arc::downgrade(&self.shell);
+        let inbox: peer::Inbox = sync::Arc::new(move |from, message| {
+            if let Some(shell) = weak.upgrade() {
+                shell.drive(event::Event::Received(from, message));
+            }
+        });
+        let settings = &self.shell.settings;
+        let started = peer::start(listener, settings.vm.clone(), settings.address, inbox);
+        let (peers, _) = started.map_err(failure::Failure::Peers)?;
+        self.shell.set_peers(peers);
+        Ok(())
+    }
+
+    fn start_ticks(&self) {
+        let weak = sync::Arc::downgrade(&self.shell);
+        thread::spawn(move || {
+            while let Some(shell) = weak.upgrade().filter(|shell| !shell.is_halted()) {
+                shell.drive(event::Event::Tick);
+                drop(shell);
+                thread::sleep(TICK);
+            }
+        });
+    }
+
+    fn accept(&self, listener: net::TcpListener, tls: Option<sync::Arc<rustls::ServerConfig>>) {
+        let shell = self.shell.clone();
+        let closed = self.closed.clone();
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                if closed.load(atomic::Ordering::SeqCst) {
+                    return;
+                }
+                let (shell, tls) = (shell.clone(), tls.clone());
+                let serve = move || {
+                    if let Err(failure) = session::serve(&shell, socket, tls.as_ref()) {
+                        log::debug!("session ended: {failure}");
+                    }
+                };
+                let spawned = thread::Builder::new().stack_size(STACK_SIZE).spawn(serve);
+                if let Err(error) = spawned {
+                    log::warn!("a session could not start: {error}");
+                }
+            }
+        });
+    }
+
+    /// Where callers connect.
+    pub fn listen(&self) -> net::SocketAddr {
+        self.listen
+    }
+
+    /// Where operators connect.
+    pub fn admin(&self) -> net::SocketAddr {
+        self.admin
+    }
+
+    /// Where peers connect.
+    pub fn peer(&self) -> net::SocketAddr {
+        self.peer
+    }
+
+    /// Looks at the kernel.
+    pub fn inspect<T>(&self, look: impl FnOnce(&kernel::Daemon) -> T) -> T {
+        self.shell.inspect(look)
+    }
+
+    /// Applies a release note.
+    pub fn apply(&self, note: config::Note) -> event::Verdict {
+        self.shell.submit(note)
+    }
+
+    /// Finishes what runs, refuses what comes, and ends.
+    pub fn stop(self) {
+        let limit = self.shell.settings.timing.stop;
+        let deadline = time::Instant::now() + limit;
+        self.shell.drive(event::Event::Stop);
+        self.shell.wait_stopped(limit);
+        while self.shell.count_sessions() > 0 && time::Instant::now() < deadline {
+            thread::sleep(STOP_PERIOD);
+        }
+        self.halt();
+    }
+
+    /// Dies: every connection breaks, nothing is finished or handed over.
+    pub fn kill(self) {
+        self.shell.break_all();
+        self.halt();
+    }
+
+    /// Ends without finishing anything.
+    pub fn halt(self) {
+        self.closed.store(true, atomic::Ordering::SeqCst);
+        self.shell.halt();
+        // Wakes the accepting thread.
+        let _ = net::TcpStream::connect(self.listen);
+        if let Some(server) = &self.server {
+            for _ in 0..8 {
+                server.unblock();
+            }
+        }
+    }
+}
+
+fn setup(settings: &config::Settings) -> kernel::Setup {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let incarnation = since.map_or(1, |since| u64::try_from(since.as_millis()).unwrap_or(1));
+    kernel::Setup {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        // Milliseconds fit into the upper 40 bits of a nonce until 2039.
+        incarnation: incarnation & ((1 << 40) - 1),
+        timing: settings.timing.clone(),
+        limits: settings.limits.clone(),
+        policy: settings.policy.clone(),
+    }
+}
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! The shell around the kernel: sockets, threads, timers and HTTP.
+//!
+//! Everything that happens becomes an event for the kernel, and every action
+//! of the kernel is carried out here. No decision is made in this crate.
+
+mod admin;
+mod clock;
+mod daemon;
+mod failure;
+mod monitor;
+mod pool;
+mod requests;
+mod session;
+mod shell;
+mod store;
+mod tls;
+
+pub use daemon::{Listeners, Running};
+pub use failure::Failure;
--- /dev/null
+++ b/components/daemon/src/session.rs
@@ -0,0 +1,88 @@
+//! One caller's session, from its start to its end.
+
+use std::{net, sync};
+
+use errors::{Cause, Refusal};
+use kernel::event;
+
+use crate::{requests, shell};
+
+/// Accepts a caller and serves it to the end.
+pub fn serve(
+    shell: &sync::Arc<shell::Shell>,
+    socket: net::TcpStream,
+    tls: Option<&sync::Arc<rustls::ServerConfig>>,
+) -> Result<(), wire::Failure> {
+    let limit = shell.settings.limits.startup;
+    let control = socket.try_clone().map_err(wire::Failure::from)?;
+    let (mut caller, hello) = wire::greet(socket, tls, limit)?;
+    let startup = match hello {
+        wire::Hello::Cancel(process, secret) => {
+            shell.cancel(process, secret);
+            return Ok(());
+        }
+        wire::Hello::Startup(startup) => startup,
+    };
+    if shell.count_sessions() >= shell.settings.limits.sessions {
+        return wire::refuse_startup(&mut caller, &Refusal::new(Cause::NoCapacity, 1000));
+    }
+    let secret = random_secret(&control);
+    let handle = sync::Arc::new(shell::Handle::new(Some(control), secret));
+    let id = shell.open(handle.clone());
+    let result = admit(shell, &mut caller, &startup, id, &handle);
+    let result = match result {
+        Ok(Some((welcome, key))) => {
+            let mut session = requests::Session::new(shell.clone(), caller, handle, id);
+            session.run(&startup.database, &welcome, &key)
+        }
+        Ok(None) => Ok(()),
+        Err(failure) => Err(failure),
+    };
+    shell.close(id);
+    result
+}
+
+/// Checks the key with the kernel; none if the caller was turned away.
+fn admit(
+    shell: &shell::Shell,
+    caller: &mut wire::Caller,
+    startup: &wire::Startup,
+    id: event::SessionId,
+    handle: &shell::Handle,
+) -> Result<Option<(event::Welcome, Vec<u8>)>, wire::Failure> {
+    let fleet = shell.fleet();
+    let route = fleet.routes.get(startup.database.as_str());
+    let open = route.is_some_and(|route| route.open);
+    let key = if open {
+        Vec::new()
+    } else {
+        wire::read_key(caller, shell.settings.limits.startup)?.to_vec()
+    };
+    let digest = (!open).then(|| config::KeyDigest::of(&key));
+    shell.drive(event::Event::Opened(event::Opening {
+        session: id,
+        digest,
+        route: startup.database.clone(),
+        token: startup.token,
+    }));
+    let welcome = match handle.wait() {
+        shell::Reply::Welcome(welcome) => welcome,
+        shell::Reply::Refuse(refusal) => {
+            wire::refuse_startup(caller, &refusal)?;
+            return Ok(None);
+        }
+        _ => return Ok(None),
+    };
+    let process = shell.process(id);
+    wire::welcome(caller, process, handle.secret, startup.token)?;
+    Ok(Some((welcome, key)))
+}
+
+/// A secret that others cannot guess, from the standard library's own seed.
+fn random_secret(socket: &net::TcpStream) -> i32 {
+    use std::hash::{BuildHasher, Hasher};
+    let mut hasher = std::hash::RandomState::new().build_hasher();
+    hasher.write_u16(socket.peer_addr().map_or(0, |address| address.port()));
+    let bytes = hasher.finish().to_be_bytes();
+    i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
--- /dev/null
+++ b/components/daemon/src/shell.rs
@@ -0,0 +1,477 @@
+//! Shared state of a daemon and the execution of the kernel's actions.
+
+use std::{
+    collections, net, sync,
+    sync::{atomic, mpsc},
+};
+
+use config::{Fleet, Name};
+use errors::{Cause, Refusal};
+use kernel::{event, journal, position, time};
+
+use crate::{clock, monitor, pool, store};
+
+/// Bits of a request's identity below its session's.
+pub const REQUEST_BITS: u32 = 24;
+
+/// Locks, whatever a panicking thread left behind.
+pub fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// What the kernel tells a session.
+#[derive(Debug)]
+pub enum Reply {
+    /// It is let in.
+    Welcome(event::Welcome),
+    /// Its request may run before the time.
+    Grant(Name, time::Time),
+    /// Its request, or the session at its start, is refused.
+    Refuse(Refusal),
+    /// Its write may be acknowledged before the time.
+    Acknowledge(position::Floor, time::Time),
+}
+
+/// Where a cancel request for a session goes while its statement runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    /// Database.
+    pub endpoint: wire::Endpoint,
+    /// Cancel key of the connection.
+    pub process: i32,
+    /// Cancel key of the connection.
+    pub secret: i32,
+}
+
+#[derive(Debug, Default)]
+struct Ending {
+    refusal: Option<Refusal>,
+    idle: bool,
+}
+
+/// The part of a session that other threads reach.
+pub struct Handle {
+    replies: sync::Mutex<collections::VecDeque<Reply>>,
+    arrived: sync::Condvar,
+    ending: sync::Mutex<Ending>,
+    socket: Option<net::TcpStream>,
+    /// Secret of its cancel key.
+    pub secret: i32,
+    /// Statement in flight.
+    pub target: sync::Mutex<Option<Target>>,
+}
+
+impl Handle {
+    /// A handle on a caller's socket.
+    pub fn new(socket: Option<net::TcpStream>, secret: i32) -> Self {
+        Self {
+            replies: sync::Mutex::default(),
+            arrived: sync::Condvar::new(),
+            ending: sync::Mutex::default(),
+            socket,
+            secret,
+            target: sync::Mutex::default(),
+        }
+    }
+
+    fn push(&self, reply: Reply) {
+        lock(&self.replies).push_back(reply);
+        self.arrived.notify_one();
+    }
+
+    /// Waits for the kernel's next word.
+    pub fn wait(&self) -> Reply {
+        let replies = lock(&self.replies);
+        let waited = self
+            .arrived
+            .wait_while(replies, |replies| replies.is_empty());
+        let mut replies = waited.unwrap_or_else(sync::PoisonError::into_inner);
+        replies
+            .pop_front()
+            .unwrap_or(Reply::Refuse(Refusal::new(Cause::Stopping, 0)))
+    }
+
+    /// Ends the session; at once if it waits for its caller.
+    fn end(&self, refusal: Refusal) {
+        let mut ending = lock(&self.ending);
+        ending.refusal.get_or_insert(refusal);
+        let at_once = ending.idle || refusal.cause != Cause::Stopping;
+        if let Some(socket) = self.socket.as_ref().filter(|_| at_once) {
+            let _ = socket.shutdown(net::Shutdown::Read);
+        }
+    }
+
+    /// Notes whether the session is between transactions; returns why it must
+    /// end, if it must.
+    pub fn rest(&self, idle: bool) -> Option<Refusal> {
+        let mut ending = lock(&self.ending);
+        ending.idle = idle;
+        let refusal = ending.refusal?;
+        (idle || refusal.cause != Cause::Stopping).then_some(refusal)
+    }
+
+    /// Why the session must end, if it must.
+    pub fn ending(&self) -> Option<Refusal> {
+        lock(&self.ending).refusal
+    }
+
+    /// Cancels the statement in flight, and waits until that is settled.
+    fn cancel(&self) {
+        let target = lock(&self.target);
+        if let Some(target) = *target {
+            let _ = wire::cancel(&target.endpoint, target.process, target.secret);
+        }
+    }
+}
+
+type Sockets = collections::HashMap<Name, collections::HashMap<event::RequestId, net::TcpStream>>;
+
+/// Everything that a daemon's threads share.
+pub struct Shell {
+    /// Checked settings.
+    pub settings: config::Settings,
+    /// Monotonic clock.
+    pub clock: clock::Clock,
+    /// Metrics.
+    pub metrics: telemetry::Metrics,
+    /// Connections to databases.
+    pub pool: pool::Pool,
+    kernel: sync::Mutex<kernel::Daemon>,
+    sessions: sync::RwLock<collections::HashMap<event::SessionId, sync::Arc<Handle>>>,
+    fleet: sync::RwLock<sync::Arc<Fleet>>,
+    addresses: sync::RwLock<collections::HashMap<Name, net::SocketAddr>>,
+    monitors: sync::Mutex<collections::HashMap<Name, monitor::Monitor>>,
+    used: sync::Mutex<Sockets>,
+    peers: sync::OnceLock<peer::Handle>,
+    calls: mpsc::Sender<store::Call>,
+    tickets: sync::Mutex<collections::HashMap<event::Ticket, mpsc::Sender<event::Verdict>>>,
+    next: atomic::AtomicU64,
+    stopped: (sync::Mutex<bool>, sync::Condvar),
+    halted: atomic::AtomicBool,
+    own: sync::OnceLock<sync::Weak<Shell>>,
+}
+
+fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+impl Shell {
+    /// A shell around a kernel; calls to the store go to the queue.
+    pub fn new(
+        settings: config::Settings,
+        clock: clock::Clock,
+        kernel: kernel::Daemon,
+        calls: mpsc::Sender<store::Call>,
+    ) -> sync::Arc<Self> {
+        let shell = sync::Arc::new(Self {
+            pool: pool::Pool::new(settings.address, settings.credentials.clone()),
+            settings,
+            clock,
+            metrics: telemetry::Metrics::default(),
+            kernel: sync::Mutex::new(kernel),
+            sessions: sync::RwLock::default(),
+            fleet: sync::RwLock::default(),
+            addresses: sync::RwLock::default(),
+            monitors: sync::Mutex::default(),
+            used: sync::Mutex::default(),
+            peers: sync::OnceLock::new(),
+            calls,
+            tickets: sync::Mutex::default(),
+            next: atomic::AtomicU64::new(1),
+            stopped: (sync::Mutex::new(false), sync::Condvar::new()),
+            halted: atomic::AtomicBool::new(false),
+            own: sync::OnceLock::new(),
+        });
+        let _ = shell.own.set(sync::Arc::downgrade(&shell));
+        shell
+    }
+
+    /// Connects the shell to its peers.
+    pub fn set_peers(&self, peers: peer::Handle) {
+        let _ = self.peers.set(peers);
+    }
+
+    /// Gives an event to the kernel and carries out what follows.
+    pub fn drive(&self, event: event::Event) {
+        let mut kernel = lock(&self.kernel);
+        let actions = kernel.handle(self.clock.now(), event);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    /// Looks at the kernel.
+    pub fn inspect<T>(&self, look: impl FnOnce(&kernel::Daemon) -> T) -> T {
+        look(&lock(&self.kernel))
+    }
+
+    fn perform(&self, action: event::Action) {
+        match action {
+            event::Action::Welcome(session, welcome) => {
+                self.reply(session, Reply::Welcome(welcome));
+            }
+            event::Action::Reject(session, refusal) => self.reply(session, Reply::Refuse(refusal)),
+            event::Action::End(session, refusal) => {
+                if let Some(handle) = self.session(session) {
+                    handle.end(refusal);
+                }
+            }
+            event::Action::Grant(request, instance, until) => {
+                self.answer(request, Reply::Grant(instance, until));
+            }
+            event::Action::Refuse(request, refusal) => {
+                self.answer(request, Reply::Refuse(refusal));
+            }
+            event::Action::Acknowledge(request, floor, until) => {
+                self.answer(request, Reply::Acknowledge(floor, until));
+            }
+            event::Action::Poll(instance) => self.monitor(&instance, monitor::Call::Poll),
+            event::Action::Fence(instance, term) => {
+                self.monitor(&instance, monitor::Call::Fence(term));
+            }
+            event::Action::Promote(instance, term) => {
+                self.monitor(&instance, monitor::Call::Promote(term));
+            }
+            event::Action::Send(to, message) => self.send(to, message),
+            event::Action::Cancel(process, secret) => self.cancel_soon(process, secret),
+            event::Action::Sever(instance) => self.sever(&instance),
+            event::Action::Load(key) => self.call(store::Call::Load(key)),
+            event::Action::Store(version, row) => self.call(store::Call::Store(version, row)),
+            event::Action::Answer(ticket, verdict) => {
+                if let Some(waiting) = lock(&self.tickets).remove(&ticket) {
+                    let _ = waiting.send(verdict);
+                }
+            }
+            event::Action::Configured(fleet, _) => self.configure(fleet),
+            event::Action::Resize(instance, limit) => self.pool.resize(&instance, limit),
+            event::Action::Record(entry) => self.record(&entry),
+            event::Action::Stopped => {
+                *lock(&self.stopped.0) = true;
+                self.stopped.1.notify_all();
+            }
+        }
+    }
+
+    fn reply(&self, session: event::SessionId, reply: Reply) {
+        if let Some(handle) = self.session(session) {
+            handle.push(reply);
+        }
+    }
+
+    fn answer(&self, request: event::RequestId, reply: Reply) {
+        self.reply(event::SessionId(request.0 >> REQUEST_BITS), reply);
+    }
+
+    fn session(&self, session: event::SessionId) -> Option<sync::Arc<Handle>> {
+        read(&self.sessions).get(&session).cloned()
+    }
+
+    fn monitor(&self, instance: &Name, call: monitor::Call) {
+        if let Some(monitor) = lock(&self.monitors).get(instance) {
+            monitor.call(call);
+        }
+    }
+
+    fn send(&self, to: Name, message: kernel::message::Message) {
+        let address = read(&self.addresses).get(&to).copied();
+        if let (Some(peers), Some(address)) = (self.peers.get(), address) {
+            peers.send(to, address, message);
+        }
+    }
+
+    fn call(&self, call: store::Call) {
+        let _ = self.calls.send(call);
+    }
+
+    fn record(&self, entry: &journal::Entry) {
+        let value = serde_json::to_value(entry).unwrap_or_default();
+        let kind = value["kind"].as_str().unwrap_or_default();
+        self.metrics.decide(kind);
+        log::info!(target: "decision", vm = &**self.settings.vm, entry:serde = value;
+            "{}", entry.decision);
+    }
+
+    fn configure(&self, fleet: sync::Arc<Fleet>) {
+        let mut monitors = lock(&self.monitors);
+        let instances = || fleet.groups.values().flat_map(|group| &group.instances);
+        let keep: collections::HashMap<_, _> = instances().map(|i| (&i.name, i.address)).collect();
+        monitors.retain(|name, monitor| keep.get(name) == Some(&monitor.address));
+        let Some(shell) = self.own.get().and_then(sync::Weak::upgrade) else {
+            return;
+        };
+        for instance in instances() {
+            let name = instance.name.clone();
+            monitors
+                .entry(name.clone())
+                .or_insert_with(|| monitor::Monitor::start(&shell, name, instance.address));
+        }
+        drop(monitors);
+        *write(&self.fleet) = fleet;
+    }
+
+    /// Configuration in force.
+    pub fn fleet(&self) -> sync::Arc<Fleet> {
+        read(&self.fleet).clone()
+    }
+
+    /// Address of an instance.
+    pub fn instance_address(&self, instance: &Name) -> Option<net::SocketAddr> {
+        lock(&self.monitors)
+            .get(instance)
+            .map(|monitor| monitor.address)
+    }
+
+    /// Keeps the addresses of peers.
+    pub fn note_addresses(&self, vms: &[event::Vm]) {
+        let mut addresses = write(&self.addresses);
+        for vm in vms {
+            if let Ok(address) = vm.peer.parse() {
+                addresses.insert(vm.name.clone(), address);
+            }
+        }
+    }
+
+    /// Registers a session.
+    pub fn open(&self, handle: sync::Arc<Handle>) -> event::SessionId {
+        let id = event::SessionId(self.next.fetch_add(1, atomic::Ordering::Relaxed));
+        let mut sessions = write(&self.sessions);
+        sessions.insert(id, handle);
+        self.metrics.set_sessions(sessions.len());
+        id
+    }
+
+    /// Forgets a session.
+    pub fn close(&self, id: event::SessionId) {
+        self.drive(event::Event::Closed(id));
+        let mut sessions = write(&self.sessions);
+        sessions.remove(&id);
+        self.metrics.set_sessions(sessions.len());
+    }
+
+    /// Number of sessions.
+    pub fn count_sessions(&self) -> usize {
+        read(&self.sessions).len()
+    }
+
+    /// Makes a connection in use known, so that it can be broken.
+    pub fn use_socket(&self, instance: &Name, request: event::RequestId, server: &wire::Server) {
+        if let Ok(socket) = server.channel.socket().try_clone() {
+            let mut used = lock(&self.used);
+            used.entry(instance.clone())
+                .or_default()
+                .insert(request, socket);
+        }
+    }
+
+    /// The connection is no longer in use.
+    pub fn unuse_socket(&self, instance: &Name, request: event::RequestId) {
+        if let Some(sockets) = lock(&self.used).get_mut(instance) {
+            sockets.remove(&request);
+        }
+    }
+
+    fn sever(&self, instance: &Name) {
+        if let Some(sockets) = lock(&self.used).get(instance) {
+            for socket in sockets.values() {
+                let _ = socket.shutdown(net::Shutdown::Both);
+            }
+        }
+        self.pool.clear(instance);
+    }
+
+    /// Cancel key of a session: the VM's digest and the session's number.
+    pub fn process(&self, session: event::SessionId) -> i32 {
+        let number = i32::try_from(session.0 & 0xffff).unwrap_or(0);
+        vm_digest(&self.settings.vm) << 16 | number
+    }
+
+    /// Cancels a statement here, or where its session is.
+    pub fn cancel(&self, process: i32, secret: i32) {
+        if process >> 16 == vm_digest(&self.settings.vm) {
+            self.cancel_here(process, secret);
+            return;
+        }
+        let names: Vec<_> = read(&self.addresses).keys().cloned().collect();
+        for name in names {
+            if vm_digest(&name) == process >> 16 {
+                self.send(name, kernel::message::Message::Cancel(process, secret));
+            }
+        }
+    }
+
+    fn cancel_here(&self, process: i32, secret: i32) {
+        let number = u64::try_from(process & 0xffff).unwrap_or(0);
+        let found: Vec<_> = read(&self.sessions)
+            .iter()
+            .filter(|(id, handle)| id.0 & 0xffff == number && handle.secret == secret)
+            .map(|(_, handle)| handle.clone())
+            .collect();
+        for handle in found {
+            handle.cancel();
+        }
+    }
+
+    /// Cancels on a thread of its own, since the kernel must not wait.
+    fn cancel_soon(&self, process: i32, secret: i32) {
+        if let Some(shell) = self.own.get().and_then(sync::Weak::upgrade) {
+            std::thread::spawn(move || shell.cancel_here(process, secret));
+        }
+    }
+
+    /// Hands a note to the kernel and waits for the verdict.
+    pub fn submit(&self, note: config::Note) -> event::Verdict {
+        let ticket = event::Ticket(self.next.fetch_add(1, atomic::Ordering::Relaxed));
+        let (sender, receiver) = mpsc::channel();
+        lock(&self.tickets).insert(ticket, sender);
+        self.drive(event::Event::Submitted(ticket, sync::Arc::new(note)));
+        receiver.recv().unwrap_or(event::Verdict::Unknown)
+    }
+
+    /// Waits until the kernel has stopped, or the time is over.
+    pub fn wait_stopped(&self, limit: std::time::Duration) {
+        let stopped = lock(&self.stopped.0);
+        let _ = self
+            .stopped
+            .1
+            .wait_timeout_while(stopped, limit, |stopped| !*stopped);
+    }
+
+    /// Ends the background threads.
+    pub fn halt(&self) {
+        self.halted.store(true, atomic::Ordering::SeqCst);
+        lock(&self.monitors).clear();
+        if let Some(peers) = self.peers.get() {
+            peers.close();
+        }
+    }
+
+    /// Breaks every connection, as the death of the process would.
+    pub fn break_all(&self) {
+        for handle in read(&self.sessions).values() {
+            if let Some(socket) = &handle.socket {
+                let _ = socket.shutdown(net::Shutdown::Both);
+            }
+            handle.push(Reply::Refuse(Refusal::new(Cause::Stopping, 0)));
+        }
+        let instances: Vec<_> = lock(&self.used).keys().cloned().collect();
+        for instance in instances {
+            self.sever(&instance);
+        }
+    }
+
+    /// Whether the background threads must end.
+    pub fn is_halted(&self) -> bool {
+        self.halted.load(atomic::Ordering::SeqCst)
+    }
+}
+
+/// 15 bits that stand for a VM in cancel keys.
+fn vm_digest(vm: &str) -> i32 {
+    let digest: String = config::KeyDigest::of(vm.as_bytes()).into();
+    let bits = i32::from_str_radix(&digest[..4], 16).unwrap_or(0);
+    bits & 0x7fff
+}
--- /dev/null
+++ b/components/kernel/src/budget.rs
@@ -0,0 +1,420 @@
+//! Shares of what is scarce over the whole fleet.
+//!
+//! A budget is a number of units: millionths of a customer's rate and burst, or
+//! connections of an instance. Every epoch splits it over its members; within
+//! an epoch units move only from giver to taker, and the giver debits first.
+//! A lost or doubled message can lose units and never make any. A VM that
+//! learns of a new epoch shrinks to its part at once, and grows only after all
+//! holders of older shares have confirmed or are gone.
+
+use std::{collections, time as std_time};
+
+use config::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{event, sharing, time};
+
+/// Units of a customer's budget.
+pub const RATE_UNITS: u64 = 1_000_000;
+/// Micro-tokens that a request costs.
+const TOKEN: u64 = 1_000_000;
+/// Asks remembered, so that late answers still count.
+const ASKS: usize = 4096;
+/// Period over which demand is averaged.
+const DEMAND_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
+/// Shortest time between two rounds of asks for a budget.
+const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(20);
+/// Rounds of asks without an answer after which none is expected.
+const BARREN_ROUNDS: u32 = 4;
+/// Time after which peers are worth asking again.
+const BARREN_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+/// Peers asked in one round.
+const ASK_FANOUT: usize = 3;
+
+/// What is scarce.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Scarce {
+    /// Rate and burst of a customer.
+    Rate(Name),
+    /// Connections of an instance.
+    Connections(Name),
+}
+
+/// Asks for units.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Ask {
+    /// Budget.
+    pub scarce: Scarce,
+    /// Epoch of the taker.
+    pub epoch: u64,
+    /// Identity, never reused by any run.
+    pub nonce: u64,
+    /// Units wanted.
+    pub units: u64,
+}
+
+/// Gives units.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Give {
+    /// Budget.
+    pub scarce: Scarce,
+    /// Epoch of the giver.
+    pub epoch: u64,
+    /// Identity of the ask.
+    pub nonce: u64,
+    /// Units given.
+    pub units: u64,
+    /// Micro-tokens given with them.
+    pub tokens: u64,
+}
+
+/// Limits of a customer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limit {
+    /// Tokens a second.
+    pub rate: u64,
+    /// Tokens at once.
+    pub burst: u64,
+}
+
+/// This VM's part of one budget.
+#[derive(Debug)]
+struct Part {
+    total: u64,
+    equal: u64,
+    units: u64,
+    level: u64,
+    carry: u64,
+    filled: time::Time,
+    limit: Limit,
+    count: u64,
+    demand: u64,
+    measured: time::Time,
+    asked: time::Time,
+    barren: u32,
+}
+
+impl Part {
+    fn cap(&self) -> u64 {
+        self.limit.burst * self.units
+    }
+
+    fn fill(&mut self, now: time::Time) {
+        let dt = time::micros(now.since(self.filled));
+        self.filled = now;
+        let gain = u128::from(self.limit.rate) * u128::from(self.units) * u128::from(dt)
+            + u128::from(self.carry);
+        let whole = u64::try_from(gain / u128::from(RATE_UNITS)).unwrap_or(u64::MAX);
+        self.carry = u64::try_from(gain % u128::from(RATE_UNITS)).unwrap_or(0);
+        self.level = self.level.saturating_add(whole).min(self.cap());
+    }
+
+    /// Averages the demand of rate budgets, in units.
+    fn measure(&mut self, now: time::Time) {
+        let span = now.since(self.measured);
+        if span < DEMAND_PERIOD {
+            return;
+        }
+        let per_second = self.count * 1_000_000 / time::micros(span).max(1);
+        let units = per_second * RATE_UNITS / self.limit.rate.max(1);
+        self.demand = (self.demand * 3 + units) / 4;
+        self.count = 0;
+        self.measured = now;
+    }
+
+    fn share(&self) -> sharing::Share {
+        sharing::Share {
+            held: self.units,
+            equal: self.equal,
+            demand: self.demand,
+        }
+    }
+
+    fn remove(&mut self, units: u64) -> u64 {
+        let tokens = u128::from(self.level) * u128::from(units) / u128::from(self.units.max(1));
+        let tokens = u64::try_from(tokens).unwrap_or(0);
+        self.units -= units;
+        self.level = (self.level - tokens).min(self.cap());
+        tokens
+    }
+}
+
+/// All shares of this VM.
+pub struct Budgets {
+    own: event::Member,
+    epoch: event::Epoch,
+    grown: bool,
+    joined: bool,
+    parts: collections::BTreeMap<Scarce, Part>,
+    asks: collections::BTreeMap<u64, Scarce>,
+    nonce: u64,
+    turn: usize,
+    policy: Box<dyn sharing::SharePolicy>,
+}
+
+impl Budgets {
+    /// No share of anything yet.
+    pub fn new(own: event::Member, policy: Box<dyn sharing::SharePolicy>) -> Self {
+        Self {
+            nonce: own.incarnation << 24,
+            own,
+            epoch: event::Epoch::default(),
+            grown: false,
+            joined: false,
+            parts: collections::BTreeMap::new(),
+            asks: collections::BTreeMap::new(),
+            turn: 0,
+            policy,
+        }
+    }
+
+    /// Epoch whose shares are in use.
+    pub fn epoch(&self) -> &event::Epoch {
+        &self.epoch
+    }
+
+    /// Whether the shares of the epoch have been taken up.
+    pub fn is_grown(&self) -> bool {
+        self.grown
+    }
+
+    /// Shrinks to the part of a newer epoch; returns whether it was newer.
+    pub fn adopt(&mut self, epoch: &event::Epoch, now: time::Time) -> bool {
+        if epoch.number <= self.epoch.number {
+            return false;
+        }
+        self.epoch = epoch.clone();
+        self.grown = false;
+        self.joined = epoch.members.contains(&self.own);
+        self.asks.clear();
+        for (scarce, part) in &mut self.parts {
+            part.fill(now);
+            part.equal = equal_share(&self.epoch, &self.own, scarce, part.total);
+            let target = if self.joined { part.equal } else { 0 };
+            part.units = part.units.min(target);
+            part.level = part.level.min(part.cap());
+        }
+        true
+    }
+
+    /// Runs that must confirm before shares may grow.
+    pub fn holders(&self) -> impl Iterator<Item = &event::Member> {
+        self.epoch.members.iter().chain(&self.epoch.former)
+    }
+
+    /// Takes up the full part of the epoch.
+    pub fn grow(&mut self, now: time::Time) {
+        self.grown = true;
+        if !self.joined {
+            return;
+        }
+        for part in self.parts.values_mut() {
+            part.fill(now);
+            part.units = part.equal;
+        }
+    }
+
+    /// Makes known a budget, or its new limit.
+    pub fn configure(&mut self, scarce: Scarce, total: u64, limit: Limit, now: time::Time) {
+        let equal = equal_share(&self.epoch, &self.own, &scarce, total);
+        let units = if self.grown && self.joined { equal } else { 0 };
+        let part = self.parts.entry(scarce).or_insert_with(|| Part {
+            total,
+            equal,
+            units,
+            level: 0,
+            carry: 0,
+            filled: now,
+            limit,
+            count: 0,
+            demand: 0,
+            measured: now,
+            asked: time::Time::default(),
+            barren: 0,
+        });
+        part.fill(now);
+        part.limit = limit;
+        if total < part.total {
+            part.units = part.units * total / part.total.max(1);
+            part.equal = part.equal.min(equal);
+        }
+        part.total = total;
+        part.level = part.level.min(part.cap());
+    }
+
+    /// Counts a request as demand, whether it is admitted or not.
+    pub fn count(&mut self, customer: &Name) {
+        if let Some(part) = self.parts.get_mut(&Scarce::Rate(customer.clone())) {
+            part.count += 1;
+        }
+    }
+
+    /// Raises the demand at once, for a request that finds no token.
+    pub fn press(&mut self, customer: &Name) {
+        if let Some(part) = self.parts.get_mut(&Scarce::Rate(customer.clone())) {
+            let step = (part.total / 16).max(1);
+            part.demand = part.demand.max(part.units + step).min(part.total);
+        }
+    }
+
+    /// Takes a token of the customer, if there is one.
+    pub fn take(&mut self, customer: &Name, now: time::Time) -> bool {
+        let Some(part) = self.parts.get_mut(&Scarce::Rate(customer.clone())) else {
+            return false;
+        };
+        part.fill(now);
+        if part.level < TOKEN {
+            return false;
+        }
+        part.level -= TOKEN;
+        true
+    }
+
+    /// Time until `position` more tokens have come in at the present share.
+    pub fn wait(&self, customer: &Name, position: u64) -> Option<std_time::Duration> {
+        let part = self.parts.get(&Scarce::Rate(customer.clone()))?;
+        let speed = part.limit.rate * part.units;
+        if speed == 0 || part.cap() < TOKEN {
+            return None;
+        }
+        let missing = (position * TOKEN).saturating_sub(part.level);
+        let micros = u128::from(missing) * u128::from(RATE_UNITS) / u128::from(speed);
+        let micros = u64::try_from(micros).unwrap_or(u64::MAX);
+        Some(std_time::Duration::from_micros(micros))
+    }
+
+    /// Whether peers may still give units for the customer.
+    pub fn is_hopeful(&self, customer: &Name, now: time::Time) -> bool {
+        let Some(part) = self.parts.get(&Scarce::Rate(customer.clone())) else {
+            return false;
+        };
+        let rested = now.since(part.asked) > BARREN_PERIOD;
+        self.grown && self.policy.moves() && (rested || part.barren < BARREN_ROUNDS)
+    }
+
+    /// Units of a budget held here.
+    pub fn units(&self, scarce: &Scarce) -> u64 {
+        self.parts.get(scarce).map_or(0, |part| part.units)
+    }
+
+    /// Tells how many connections are needed now.
+    pub fn need(&mut self, instance: &Name, connections: u64) {
+        if let Some(part) = self.parts.get_mut(&Scarce::Connections(instance.clone())) {
+            part.demand = connections;
+        }
+    }
+
+    /// Asks to send now, each to one of the peers in turn.
+    pub fn asks(&mut self, peers: &[Name], now: time::Time) -> Vec<(Name, Ask)> {
+        let mut out = Vec::new();
+        if peers.is_empty() || !self.grown {
+            return out;
+        }
+        for (scarce, part) in &mut self.parts {
+            if matches!(scarce, Scarce::Rate(_)) {
+                part.fill(now);
+                part.measure(now);
+            }
+            let units = self.policy.want(part.share());
+            if units == 0 {
+                part.barren = 0;
+                continue;
+            }
+            let pause = if part.barren < BARREN_ROUNDS {
+                ASK_PERIOD
+            } else {
+                BARREN_PERIOD / 5
+            };
+            if now.since(part.asked) < pause {
+                continue;
+            }
+            part.asked = now;
+            part.barren += 1;
+            for _ in 0..ASK_FANOUT.min(peers.len()) {
+                self.turn = (self.turn + 1) % peers.len();
+                self.nonce += 1;
+                self.asks.insert(self.nonce, scarce.clone());
+                let ask = Ask {
+                    scarce: scarce.clone(),
+                    epoch: self.epoch.number,
+                    nonce: self.nonce,
+                    units,
+                };
+                out.push((peers[self.turn].clone(), ask));
+            }
+        }
+        while self.asks.len() > ASKS {
+            self.asks.pop_first();
+        }
+        out
+    }
+
+    /// Debits and gives what can be spared.
+    pub fn give(&mut self, ask: &Ask, now: time::Time) -> Option<Give> {
+        if ask.epoch != self.epoch.number || !self.grown {
+            return None;
+        }
+        let part = self.parts.get_mut(&ask.scarce)?;
+        part.fill(now);
+        let units = self.policy.spare(part.share(), ask.units).min(part.units);
+        if units == 0 {
+            return None;
+        }
+        let tokens = part.remove(units);
+        Some(Give {
+            scarce: ask.scarce.clone(),
+            epoch: ask.epoch,
+            nonce: ask.nonce,
+            units,
+            tokens,
+        })
+    }
+
+    /// Credits units given for an ask that has not been answered before.
+    pub fn credit(&mut self, give: &Give, now: time::Time) -> bool {
+        if give.epoch != self.epoch.number || self.asks.get(&give.nonce) != Some(&give.scarce) {
+            return false;
+        }
+        self.asks.remove(&give.nonce);
+        let Some(part) = self.parts.get_mut(&give.scarce) else {
+            return false;
+        };
+        part.fill(now);
+        part.units += give.units;
+        part.barren = 0;
+        part.level = (part.level + give.tokens).min(part.cap());
+        true
+    }
+
+    /// Everything held, handed to one peer on a graceful stop.
+    pub fn hand_over(&mut self, now: time::Time) -> Vec<(Scarce, u64, u64)> {
+        let mut out = Vec::new();
+        for (scarce, part) in &mut self.parts {
+            part.fill(now);
+            let units = part.units;
+            if units > 0 && matches!(scarce, Scarce::Rate(_)) {
+                let tokens = part.remove(units);
+                out.push((scarce.clone(), units, tokens));
+            }
+        }
+        out
+    }
+}
+
+/// Part of a member in the equal split; the first members take the remainder.
+fn equal_share(epoch: &event::Epoch, own: &event::Member, scarce: &Scarce, total: u64) -> u64 {
+    let members = u64::try_from(epoch.members.len()).unwrap_or(u64::MAX);
+    let Some(rank) = epoch.members.iter().position(|member| member == own) else {
+        return 0;
+    };
+    let rank = u64::try_from(rank).unwrap_or(u64::MAX);
+    let total = match scarce {
+        Scarce::Rate(_) => total,
+        // Every member polls over a connection of its own.
+        Scarce::Connections(_) => total.saturating_sub(members),
+    };
+    total / members + u64::from(rank < total % members)
+}
--- /dev/null
+++ b/components/kernel/src/consistency.rs
@@ -0,0 +1,80 @@
+//! Choice of the instance for a read.
+//!
+//! The caller of a policy marks each candidate as fresh or not; a policy only
+//! chooses among fresh ones, so no policy can break read-your-writes.
+
+use config::Name;
+
+use crate::plugin;
+
+/// Cost of a busy connection against round-trip time, in microseconds.
+const BUSY_COST_US: u64 = 500;
+
+/// An instance that could serve a read.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Instance.
+    pub name: Name,
+    /// It is the confirmed primary.
+    pub primary: bool,
+    /// It shows everything that the request must see.
+    pub fresh: bool,
+    /// Connections that are free here.
+    pub free: u32,
+    /// Connections in use here.
+    pub busy: u32,
+    /// Average round-trip time, in microseconds.
+    pub rtt: u64,
+}
+
+impl Candidate {
+    fn cost(&self) -> u64 {
+        self.rtt + u64::from(self.busy) * BUSY_COST_US
+    }
+}
+
+/// Chooses where a read goes.
+pub trait ReadPolicy: Send {
+    /// Position of the chosen candidate; none to wait.
+    fn choose(&self, candidates: &[Candidate]) -> Option<usize>;
+}
+
+inventory::submit! {
+    plugin::Reads { name: "replica", build: || Box::new(ReplicaFirst) }
+}
+
+inventory::submit! {
+    plugin::Reads { name: "primary", build: || Box::new(PrimaryOnly) }
+}
+
+/// Nearest fresh replica; the primary only where no replica is fresh, or where
+/// the replicas are full and the primary is mostly idle.
+pub struct ReplicaFirst;
+
+impl ReadPolicy for ReplicaFirst {
+    fn choose(&self, candidates: &[Candidate]) -> Option<usize> {
+        let fresh = |c: &&(usize, &Candidate)| c.1.fresh;
+        let all: Vec<_> = candidates.iter().enumerate().collect();
+        let best = all
+            .iter()
+            .filter(fresh)
+            .filter(|(_, c)| !c.primary && c.free > 0)
+            .min_by_key(|(_, c)| c.cost());
+        if let Some((index, _)) = best {
+            return Some(*index);
+        }
+        let replicas = all.iter().filter(fresh).any(|(_, c)| !c.primary);
+        let (index, primary) = all.iter().filter(fresh).find(|(_, c)| c.primary)?;
+        let allowed = !replicas || primary.free > primary.busy;
+        (primary.free > 0 && allowed).then_some(*index)
+    }
+}
+
+/// Every read at the primary; the baseline.
+pub struct PrimaryOnly;
+
+impl ReadPolicy for PrimaryOnly {
+    fn choose(&self, candidates: &[Candidate]) -> Option<usize> {
+        candidates.iter().position(|c| c.primary && c.free > 0)
+    }
+}
--- /dev/null
+++ b/components/kernel/src/control.rs
@@ -0,0 +1,516 @@
+//! The half of the daemon that talks to peers, operators and the platform.
+
+use std::{sync, time as std_time};
+
+use config::Name;
+
+use crate::{budget, daemon, event, journal, message, promotion, revision, time};
+
+/// Shortest time between two budget epochs.
+const EPOCH_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time that a VM lets each VM before it propose the next epoch.
+const EPOCH_STAGGER: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time after which an unanswered call to the store is repeated.
+const STORE_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(3);
+
+/// A row that is read from time to time.
+#[derive(Debug, Default)]
+struct Reading {
+    sent: Option<time::Time>,
+    pending: bool,
+    answered: Option<time::Time>,
+}
+
+impl Reading {
+    fn due(&mut self, now: time::Time, period: std_time::Duration) -> bool {
+        let wait = if self.pending { STORE_TIMEOUT } else { period };
+        let due = self.sent.is_none_or(|at| now.since(at) >= wait);
+        if due {
+            self.start(now);
+        }
+        due
+    }
+
+    fn start(&mut self, now: time::Time) {
+        self.sent = Some(now);
+        self.pending = true;
+    }
+
+    fn finish(&mut self, found: bool) {
+        self.pending = false;
+        if found {
+            self.answered = self.sent;
+        }
+    }
+}
+
+/// Calls on their way and their results.
+#[derive(Debug, Default)]
+pub struct Control {
+    head: Reading,
+    epoch: Reading,
+    version: Option<u64>,
+    wanted: Option<time::Time>,
+    adopted: time::Time,
+    proposed: Option<time::Time>,
+}
+
+impl daemon::Daemon {
+    pub(crate) fn tick_control(&mut self) {
+        self.load_due();
+        self.ping(false);
+        self.step_revisions();
+        self.propose_epoch();
+        self.grow();
+        self.send_asks();
+    }
+
+    fn load_due(&mut self) {
+        let period = self.setup.timing.platform;
+        if self.control.head.due(self.now, period) {
+            self.out.push(event::Action::Load(event::RowKey::Head));
+        }
+        if self.control.epoch.due(self.now, period) {
+            self.out.push(event::Action::Load(event::RowKey::Epoch));
+        }
+    }
+
+    fn send(&mut self, to: Name, message: message::Message) {
+        self.out.push(event::Action::Send(to, message));
+    }
+
+    fn own_report(&self) -> message::Report {
+        let epoch = self.budgets.epoch().number;
+        self.members.report(self.now, self.revision(), epoch)
+    }
+
+    fn ping(&mut self, at_once: bool) {
+        let targets = self.members.due(self.now, at_once);
+        if targets.is_empty() {
+            return;
+        }
+        let report = self.own_report();
+        for name in targets {
+            let ping = message::Message::Ping(self.now, report.clone());
+            self.send(name, ping);
+        }
+    }
+
+    pub(crate) fn received(&mut self, from: &Name, message: message::Message) {
+        match message {
+            message::Message::Ping(sent, report) => self.pinged(from, sent, &report),
+            message::Message::Pong(sent, report) => self.ponged(from, sent, &report),
+            message::Message::Fetch(after) => self.send_notes(from, after),
+            message::Message::Notes(after, notes) => {
+                if self.revisions.extend(after, &notes) {
+                    self.configured(journal::Origin::Peer(from.clone()));
+                }
+            }
+            message::Message::Snapshot(head) => {
+                self.adopt(head, journal::Origin::Peer(from.clone()));
+            }
+            message::Message::Epoch(epoch) => self.adopt_epoch(&epoch),
+            message::Message::Ask(ask) => self.asked(from, &ask),
+            message::Message::Give(give) => self.given(&give),
+            message::Message::Suspect(suspicion) => self.suspected(from, &suspicion),
+            message::Message::Cancel(process, secret) => {
+                self.out.push(event::Action::Cancel(process, secret));
+            }
+        }
+    }
+
+    fn pinged(&mut self, from: &Name, sent: time::Time, report: &message::Report) {
+        self.members.pinged(from, self.now, report);
+        let own = self.own_report();
+        self.send(from.clone(), message::Message::Pong(sent, own));
+        self.catch_up(from, report);
+    }
+
+    fn ponged(&mut self, from: &Name, sent: time::Time, report: &message::Report) {
+        let revision = self.revision();
+        let epoch = self.budgets.epoch().number;
+        let current = |r: u64, e: u64| r <= revision && e <= epoch;
+        self.members.ponged(from, self.now, sent, report, &current);
+        self.catch_up(from, report);
+        self.step_revisions();
+        self.grow();
+    }
+
+    /// Sends what the peer lacks, and asks for what this daemon lacks.
+    fn catch_up(&mut self, peer: &Name, report: &message::Report) {
+        if report.revision > self.revision() {
+            let fetch = message::Message::Fetch(self.revision());
+            self.send(peer.clone(), fetch);
+        }
+        if report.epoch < self.budgets.epoch().number {
+            let epoch = self.budgets.epoch().clone();
+            self.send(peer.clone(), message::Message::Epoch(epoch));
+        }
+    }
+
+    fn send_notes(&mut self, peer: &Name, after: u64) {
+        let message = match self.revisions.since(after) {
+            Some(notes) => message::Message::Notes(after, notes),
+            None => message::Message::Snapshot(self.revisions.head().clone()),
+        };
+        self.send(peer.clone(), message);
+    }
+
+    fn adopt(&mut self, head: sync::Arc<event::Head>, source: journal::Origin) {
+        if self.revisions.adopt(head) {
+            self.configured(source);
+        }
+    }
+
+    fn configured(&mut self, source: journal::Origin) {
+        self.configure(source);
+        self.spread();
+        self.ping(true);
+    }
+
+    /// Pushes the revision to the VMs of the next exchange that lack it.
+    fn spread(&mut self) {
+        let revision = self.revision();
+        for name in self.members.targets(self.now) {
+            let peer = self.members.peers().get(&name);
+            if let Some(peer) = peer.filter(|peer| peer.revision < revision) {
+                self.send_notes(&name, peer.revision);
+            }
+        }
+    }
+
+    pub(crate) fn loaded(&mut self, key: event::RowKey, loaded: event::Loaded) {
+        let answered = loaded != event::Loaded::Unavailable;
+        match key {
+            event::RowKey::Head => self.loaded_head(loaded, answered),
+            event::RowKey::Epoch => self.loaded_epoch(loaded, answered),
+        }
+        let (head, epoch) = (self.control.head.answered, self.control.epoch.answered);
+        if let (Some(head), Some(epoch)) = (head, epoch) {
+            self.members.confirm(head.min(epoch));
+        }
+    }
+
+    fn loaded_head(&mut self, loaded: event::Loaded, answered: bool) {
+        self.control.head.finish(answered);
+        let step = self.revisions.loaded(self.now, &loaded);
+        if let event::Loaded::Found(_, event::Row::Head(head)) = loaded {
+            self.adopt(sync::Arc::new(head), journal::Origin::Store);
+        }
+        if let Some(step) = step {
+            self.revise(step);
+        }
+        self.step_revisions();
+    }
+
+    fn loaded_epoch(&mut self, loaded: event::Loaded, answered: bool) {
+        self.control.epoch.finish(answered);
+        match loaded {
+            event::Loaded::Found(version, event::Row::Epoch(epoch)) => {
+                self.control.version = Some(version);
+                self.adopt_epoch(&epoch);
+            }
+            event::Loaded::Missing => self.control.version = Some(0),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn stored(&mut self, key: event::RowKey, stored: event::Stored) {
+        match key {
+            event::RowKey::Head => {
+                if let Some(step) = self.revisions.stored(self.now, stored) {
+                    self.revise(step);
+                }
+                self.step_revisions();
+            }
+            event::RowKey::Epoch => {
+                self.control.epoch.start(self.now);
+                self.out.push(event::Action::Load(event::RowKey::Epoch));
+            }
+        }
+    }
+
+    pub(crate) fn step_revisions(&mut self) {
+        let majority = self.members.sees_majority(self.now);
+        let (members, now) = (&self.members, self.now);
+        let behind = |revision| !members.behind(revision, now).is_empty();
+        for step in self.revisions.step(now, majority, &behind) {
+            self.revise(step);
+        }
+    }
+
+    fn revise(&mut self, step: revision::Step) {
+        match step {
+            revision::Step::Load => {
+                self.control.head.start(self.now);
+                self.out.push(event::Action::Load(event::RowKey::Head));
+            }
+            revision::Step::Store(version, head) => {
+                let row = event::Row::Head(head);
+                self.out.push(event::Action::Store(version, row));
+            }
+            revision::Step::Adopt(head) => {
+                self.adopt(sync::Arc::new(head), journal::Origin::Operator);
+            }
+            revision::Step::Answer(ticket, verdict) => {
+                self.out.push(event::Action::Answer(ticket, verdict));
+            }
+        }
+    }
+
+    fn adopt_epoch(&mut self, epoch: &event::Epoch) {
+        if !self.budgets.adopt(epoch, self.now) {
+            return;
+        }
+        self.control.adopted = self.now;
+        self.control.proposed = None;
+        self.control.wanted = None;
+        self.resize();
+        self.record_epoch(false);
+        self.ping(true);
+        self.grow();
+    }
+
+    fn record_epoch(&mut self, grown: bool) {
+        let (number, members) = {
+            let epoch = self.budgets.epoch();
+            (epoch.number, epoch.members.len())
+        };
+        self.record(journal::Decision::Epoch {
+            number,
+            members,
+            grown,
+        });
+    }
+
+    /// Takes up the shares of the epoch once nobody can use older ones.
+    fn grow(&mut self) {
+        let number = self.budgets.epoch().number;
+        if number == 0 || self.budgets.is_grown() {
+            return;
+        }
+        let own = self.members.own();
+        let confirmed = self.budgets.holders().all(|holder| {
+            let peer = self.members.peers().get(&holder.vm);
+            let reached =
+                peer.is_some_and(|p| p.incarnation == holder.incarnation && p.epoch >= number);
+            *holder == own || reached || self.members.is_gone(holder, self.now)
+        });
+        if !confirmed {
+            return;
+        }
+        self.budgets.grow(self.now);
+        self.resize();
+        self.record_epoch(true);
+        self.admit_lanes();
+        let groups: Vec<_> = self.pools.keys().cloned().collect();
+        for group in groups {
+            self.dispatch(&group);
+        }
+    }
+
+    /// Proposes a new epoch when the live VMs are no longer its members.
+    fn propose_epoch(&mut self) {
+        let Some(version) = self.control.version else {
+            return;
+        };
+        if !self.members.sees_majority(self.now) || !self.epoch_outdated() {
+            self.control.wanted = None;
+            return;
+        }
+        let wanted = *self.control.wanted.get_or_insert(self.now);
+        let live = self.members.live(self.now);
+        let own = self.members.own();
+        let rank = live.iter().position(|member| *member == own).unwrap_or(0);
+        let delay = EPOCH_PAUSE + EPOCH_STAGGER * u32::try_from(rank).unwrap_or(u32::MAX);
+        let recent = |at: time::Time| self.now.since(at) < EPOCH_PAUSE * 2;
+        let calm = !recent(self.control.adopted) || self.budgets.epoch().number == 0;
+        let repeated = self.control.proposed.is_some_and(recent);
+        if self.now < wanted + delay || !calm || repeated {
+            return;
+        }
+        self.control.proposed = Some(self.now);
+        let row = event::Row::Epoch(self.next_epoch(live));
+        self.out.push(event::Action::Store(version, row));
+    }
+
+    fn epoch_outdated(&self) -> bool {
+        let epoch = self.budgets.epoch();
+        let live = self.members.live(self.now);
+        let joined = live.iter().any(|member| !epoch.members.contains(member));
+        let left = epoch
+            .members
+            .iter()
+            .any(|member| self.members.is_gone(member, self.now));
+        joined || left
+    }
+
+    fn next_epoch(&self, live: Vec<event::Member>) -> event::Epoch {
+        let epoch = self.budgets.epoch();
+        let mut former: Vec<_> = self
+            .budgets
+            .holders()
+            .filter(|holder| !live.contains(holder))
+            .filter(|holder| !self.members.is_gone(holder, self.now))
+            .cloned()
+            .collect();
+        former.sort();
+        former.dedup();
+        event::Epoch {
+            number: epoch.number + 1,
+            members: live,
+            former,
+        }
+    }
+
+    pub(crate) fn send_asks(&mut self) {
+        let now = self.now;
+        let refusal = self.setup.timing.refusal;
+        let peers: Vec<_> = self
+            .members
+            .peers()
+            .iter()
+            .filter(|(_, peer)| peer.listed.is_some() && now.since(peer.touch) <= refusal)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for (peer, ask) in self.budgets.asks(&peers, now) {
+            self.send(peer, message::Message::Ask(ask));
+        }
+    }
+
+    fn asked(&mut self, from: &Name, ask: &budget::Ask) {
+        if !self.is_fresh() || matches!(ask.scarce, budget::Scarce::Connections(_)) {
+            return;
+        }
+        if let Some(give) = self.budgets.give(ask, self.now) {
+            self.send(from.clone(), message::Message::Give(give));
+        }
+    }
+
+    fn given(&mut self, give: &budget::Give) {
+        if self.budgets.credit(give, self.now) {
+            self.admit_lanes();
+        }
+    }
+
+    /// Hands the shares to a live peer when this daemon stops.
+    pub(crate) fn hand_over(&mut self) {
+        // The units return to the fleet with the next epoch, which leaves this
+        // VM out as soon as it is gone from the list.
+        self.budgets.hand_over(self.now);
+    }
+
+    fn suspected(&mut self, from: &Name, suspicion: &message::Suspicion) {
+        let Some(domain) = self.members.domain(from).cloned() else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&suspicion.group) {
+            pool.promotion
+                .suspected(from.clone(), domain, suspicion.term, self.now);
+        }
+    }
+
+    /// Moves the replacement of a group's primary on.
+    pub(crate) fn promote(&mut self, group: &Name) {
+        let judge = promotion::Judge {
+            vm: self.setup.vm.clone(),
+            domain: self.setup.domain.clone(),
+            suspect: self.setup.timing.suspect,
+            lease: self.setup.timing.lease,
+        };
+        let first = self.members.live(self.now).first() == Some(&self.members.own());
+        let Some(pool) = self.pools.get_mut(group) else {
+            return;
+        };
+        let known = pool.promotion.lost.is_some();
+        let step = pool.promotion.step(&judge, &pool.group, first, self.now);
+        let term = pool.group.newest();
+        let silence = time::micros(pool.group.silence(self.now)) / 1000;
+        if !known && pool.promotion.lost.is_some() {
+            self.record(journal::Decision::Suspected {
+                group: group.clone(),
+                term,
+                silent_ms: silence,
+            });
+        }
+        self.take_step(group, step);
+    }
+
+    fn take_step(&mut self, group: &Name, step: promotion::Step) {
+        match step {
+            promotion::Step::Wait => {}
+            promotion::Step::Suspect => self.tell_suspicion(group),
+            promotion::Step::Fence(term, witness) => {
+                self.record(journal::Decision::Fencing {
+                    group: group.clone(),
+                    term,
+                    witness,
+                });
+                let names: Vec<_> = self.pools[group].group.instances.keys().cloned().collect();
+                for name in names {
+                    self.out.push(event::Action::Fence(name, term));
+                }
+            }
+            promotion::Step::Promote(instance, term, lsn) => {
+                self.record(journal::Decision::Promoting {
+                    group: group.clone(),
+                    instance: instance.clone(),
+                    term,
+                    lsn,
+                });
+                self.out.push(event::Action::Promote(instance, term));
+            }
+            promotion::Step::GiveUp(term, accepted) => {
+                let needed = self.pools[group].group.majority();
+                self.record(journal::Decision::GivenUp {
+                    group: group.clone(),
+                    term,
+                    accepted,
+                    needed,
+                });
+            }
+        }
+    }
+
+    fn tell_suspicion(&mut self, group: &Name) {
+        let suspicion = message::Suspicion {
+            group: group.clone(),
+            term: self.pools[group].group.newest(),
+        };
+        let peers: Vec<_> = self.members.peers().keys().cloned().collect();
+        for peer in peers {
+            self.send(peer, message::Message::Suspect(suspicion.clone()));
+        }
+    }
+
+    fn group_of(&self, instance: &Name) -> Option<Name> {
+        self.owner.get(instance).cloned()
+    }
+
+    pub(crate) fn fenced(&mut self, fence: &event::Fence) {
+        let Some(name) = self.group_of(&fence.instance) else {
+            return;
+        };
+        let now = self.now;
+        if let Some(pool) = self.pools.get_mut(&name) {
+            let majority = pool.group.majority();
+            pool.promotion.fenced(fence, majority, &pool.group, now);
+        }
+        self.promote(&name);
+    }
+
+    pub(crate) fn promoted(&mut self, fence: &event::Fence) {
+        let Some(name) = self.group_of(&fence.instance) else {
+            return;
+        };
+        let now = self.now;
+        if let (true, Some(status)) = (fence.accepted, fence.status) {
+            if let Some(pool) = self.pools.get_mut(&name) {
+                pool.group.observe(now, &fence.instance, now, status);
+                pool.promotion.finish(fence.term);
+                pool.group.want(now);
+            }
+        }
+        self.refresh(&name);
+    }
+}
--- /dev/null
+++ b/components/kernel/src/event.rs
@@ -0,0 +1,303 @@
+//! The interface of the kernel: events in, actions out.
+
+use std::sync;
+
+use config::{Fleet, KeyDigest, Name, Note};
+use derive_more::Display;
+use errors::Refusal;
+use serde::{Deserialize, Serialize};
+
+use crate::{journal, message, position, time};
+
+/// A caller's connection at this daemon.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SessionId(pub u64);
+
+/// One transaction, or one statement outside a transaction.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// An operator's call that waits for an answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// What a request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// Reads only; a replica will do.
+    Read,
+    /// May write; the primary is needed.
+    Write,
+}
+
+/// How a granted request ended at the database.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Nothing was committed.
+    Clean,
+    /// The database reported success of a write.
+    Committed,
+    /// The connection broke before any byte was written.
+    Unsent,
+    /// The connection broke, or was closed, in any other case.
+    Broken,
+    /// A replica refused a write (25006); nothing ran.
+    ReadOnly,
+}
+
+/// A VM of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Vm {
+    /// Name.
+    pub name: Name,
+    /// Failure domain.
+    pub domain: Name,
+    /// Region.
+    pub region: Name,
+    /// Address for peers, `IP:port`.
+    pub peer: String,
+    /// Being withdrawn by the platform.
+    pub leaving: bool,
+}
+
+/// Row of the configuration head.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Head {
+    /// Number of the revision, from 1.
+    pub revision: u64,
+    /// Identities of the latest notes, oldest first.
+    pub recent: Vec<Name>,
+    /// Configuration at this revision.
+    pub fleet: sync::Arc<Fleet>,
+}
+
+/// Row of the budget epoch.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Epoch {
+    /// Number of the epoch, from 1.
+    pub number: u64,
+    /// VMs that share the budgets, sorted.
+    pub members: Vec<Member>,
+    /// VMs that may still use shares of earlier epochs.
+    pub former: Vec<Member>,
+}
+
+/// One run of a daemon on a VM.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Member {
+    /// VM.
+    pub vm: Name,
+    /// Distinguishes a restarted daemon from its predecessor.
+    pub incarnation: u64,
+}
+
+/// A row of the platform's table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Row {
+    /// Configuration head.
+    Head(Head),
+    /// Budget epoch.
+    Epoch(Epoch),
+}
+
+/// Names of the rows.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum RowKey {
+    /// Configuration head.
+    #[display("head")]
+    Head,
+    /// Budget epoch.
+    #[display("epoch")]
+    Epoch,
+}
+
+/// Result of reading a row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Loaded {
+    /// The row at its version.
+    Found(u64, Row),
+    /// No such row; its version is 0.
+    Missing,
+    /// The store did not answer.
+    Unavailable,
+}
+
+/// Result of a compare-and-set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stored {
+    /// Written at this version.
+    Written(u64),
+    /// Another version stands there.
+    Conflict,
+    /// No answer; the change may have taken effect.
+    Unknown,
+}
+
+/// Start of a session.
+#[derive(Clone, Debug)]
+pub struct Opening {
+    /// Identity.
+    pub session: SessionId,
+    /// Digest of the key shown, if any.
+    pub digest: Option<KeyDigest>,
+    /// Route asked for.
+    pub route: String,
+    /// Token shown by the caller.
+    pub token: Option<position::Floor>,
+}
+
+/// A request for a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Identity, never reused.
+    pub id: RequestId,
+    /// Session that asks.
+    pub session: SessionId,
+    /// What it may do.
+    pub access: Access,
+    /// Granted before and provably not run; it is not charged again.
+    pub retry: bool,
+}
+
+/// What happens to the kernel.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// A caller showed a key and a route.
+    Opened(Opening),
+    /// A caller is gone.
+    Closed(SessionId),
+    /// A session needs a connection.
+    Requested(Request),
+    /// The caller of a waiting request is gone.
+    Abandoned(RequestId),
+    /// A granted connection is free again.
+    Released(RequestId, Outcome),
+    /// Answer to a poll, or none.
+    Polled(Poll),
+    /// Answer to a fence, or none.
+    Fenced(Fence),
+    /// Answer to a promotion.
+    Promoted(Fence),
+    /// Message of a peer.
+    Received(Name, message::Message),
+    /// The platform's list.
+    Listed(Vec<Vm>),
+    /// Answer to a load.
+    Loaded(RowKey, Loaded),
+    /// Answer to a store.
+    Stored(RowKey, Stored),
+    /// An operator's release note.
+    Submitted(Ticket, sync::Arc<Note>),
+    /// A graceful stop begins.
+    Stop,
+}
+
+/// Answer of an instance to a poll.
+#[derive(Clone, Debug)]
+pub struct Poll {
+    /// Instance asked.
+    pub instance: Name,
+    /// When the poll was sent.
+    pub sent: time::Time,
+    /// Answer, if any.
+    pub status: Option<position::Status>,
+}
+
+/// Answer of an instance to a fence or a promotion.
+#[derive(Clone, Debug)]
+pub struct Fence {
+    /// Instance asked.
+    pub instance: Name,
+    /// Term asked for.
+    pub term: position::Term,
+    /// Whether the instance agreed.
+    pub accepted: bool,
+    /// State of the instance after the call, if it answered.
+    pub status: Option<position::Status>,
+}
+
+/// Answer to an operator.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Verdict {
+    /// Accepted and in force on every listed VM.
+    #[display("revision {_0} is in force")]
+    InForce(u64),
+    /// Accepted; some VM has neither confirmed nor been silent long enough.
+    #[display("revision {_0} is accepted but not yet in force everywhere")]
+    Accepted(u64),
+    /// Does not fit the fleet.
+    #[display("line {_0}: {_1}")]
+    Misfit(u64, config::Problem),
+    /// The daemon does not see a majority of the listed VMs.
+    #[display("this daemon does not see a majority; apply the note through another daemon")]
+    Isolated,
+    /// The store did not answer; the note may have been accepted.
+    #[display("the store does not answer; apply the same note again later")]
+    Unknown,
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Let the session in.
+    Welcome(SessionId, Welcome),
+    /// Turn the session away.
+    Reject(SessionId, Refusal),
+    /// End the session as soon as it holds no answer back.
+    End(SessionId, Refusal),
+    /// Run the request on a connection to the instance, if it starts before
+    /// the given time.
+    Grant(RequestId, Name, time::Time),
+    /// Answer the request with a refusal.
+    Refuse(RequestId, Refusal),
+    /// Acknowledge the write before the given time, or report it as unknown.
+    Acknowledge(RequestId, position::Floor, time::Time),
+    /// Ask the instance for its status.
+    Poll(Name),
+    /// Ask the instance to accept a term.
+    Fence(Name, position::Term),
+    /// Ask the instance to become primary.
+    Promote(Name, position::Term),
+    /// Send a message to a peer.
+    Send(Name, message::Message),
+    /// Break the connections in use to the instance: it was replaced or is
+    /// silent.
+    Sever(Name),
+    /// Read a row.
+    Load(RowKey),
+    /// Write a row if its version is as given.
+    Store(u64, Row),
+    /// Answer an operator.
+    Answer(Ticket, Verdict),
+    /// A new configuration is in force here.
+    Configured(sync::Arc<Fleet>, u64),
+    /// Connections that this VM may hold to the instance.
+    Resize(Name, u32),
+    /// Cancel the statement of a session here: process and secret.
+    Cancel(i32, i32),
+    /// Note a decision.
+    Record(journal::Entry),
+    /// The stop is complete.
+    Stopped,
+}
+
+/// What a session is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Welcome {
+    /// Customer that holds the key; none on open routes.
+    pub customer: Option<Name>,
+    /// Database name at the group.
+    pub database: String,
+    /// Group of the route.
+    pub group: Name,
+}
--- /dev/null
+++ b/components/kernel/src/group.rs
@@ -0,0 +1,335 @@
+//! What is known of a database group: polls, term confirmation, samples, lag.
+//!
+//! A confirmation of term `T` is a majority of instances that answered "`T` is
+//! the newest term I know" to polls sent less than a lease ago. A candidate
+//! fences a majority and then waits out the lease before it promotes, so both
+//! majorities share an instance, and no daemon holds a confirmation of an
+//! older term when a newer primary starts.
+
+use std::{collections, time as std_time};
+
+use config::{Durability, Name};
+
+use crate::{position, time};
+
+/// Shortest time between two polls of an instance that serve waiting requests.
+const POLL_SPACING: std_time::Duration = std_time::Duration::from_millis(1);
+/// Polls of an instance without an answer.
+const POLLS_IN_FLIGHT: usize = 2;
+/// Positions of the primary remembered for the age of replicas.
+const HISTORY: usize = 256;
+/// Weight of a new round-trip time in its average, in 1/8.
+const RTT_WEIGHT: u64 = 1;
+
+/// What is known of one instance.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Newest status, with the time at which its poll was sent.
+    pub status: Option<(time::Time, position::Status)>,
+    /// Average round-trip time, in microseconds.
+    pub rtt: u64,
+    /// Leaving: no new transaction.
+    pub leaving: bool,
+    /// Its silence has been acted on.
+    severed: bool,
+    sent: time::Time,
+    pending: usize,
+}
+
+/// A valid confirmation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// Confirmed term.
+    pub term: position::Term,
+    /// Its primary.
+    pub primary: Name,
+    /// End of validity.
+    pub until: time::Time,
+}
+
+/// A primary's position sampled under a confirmation.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    sent: time::Time,
+    floor: position::Floor,
+}
+
+/// State of one group as seen by this daemon.
+#[derive(Debug)]
+pub struct Group {
+    /// Instances by name.
+    pub instances: collections::BTreeMap<Name, Seen>,
+    durability: Durability,
+    lease: std_time::Duration,
+    interval: std_time::Duration,
+    newest: position::Term,
+    changed: time::Time,
+    live: time::Time,
+    known: bool,
+    sample: Option<Sample>,
+    history: collections::VecDeque<(time::Time, position::Floor)>,
+    wanted: time::Time,
+}
+
+impl Group {
+    /// A group of which nothing is known yet.
+    pub fn new(
+        config: &config::Group,
+        lease: std_time::Duration,
+        interval: std_time::Duration,
+        now: time::Time,
+    ) -> Self {
+        let mut group = Self {
+            instances: collections::BTreeMap::new(),
+            durability: config.durability,
+            lease,
+            interval,
+            newest: position::Term::default(),
+            changed: now,
+            live: now,
+            known: false,
+            sample: None,
+            history: collections::VecDeque::new(),
+            wanted: time::Time::default(),
+        };
+        group.configure(config);
+        group
+    }
+
+    /// Takes over members and durability of a new configuration.
+    pub fn configure(&mut self, config: &config::Group) {
+        self.durability = config.durability;
+        let keep: collections::BTreeSet<_> = config.instances.iter().map(|i| &i.name).collect();
+        self.instances.retain(|name, _| keep.contains(name));
+        for instance in &config.instances {
+            let seen = self.instances.entry(instance.name.clone()).or_default();
+            seen.leaving = instance.leaving;
+        }
+    }
+
+    /// Instances that make a majority.
+    pub fn majority(&self) -> usize {
+        self.instances.len() / 2 + 1
+    }
+
+    /// Newest term known.
+    pub fn newest(&self) -> position::Term {
+        self.newest
+    }
+
+    /// Asks for polls sent after `now`, because a request waits for them.
+    pub fn want(&mut self, now: time::Time) {
+        self.wanted = self.wanted.max(now);
+    }
+
+    /// Instances to poll now; counts them as polled.
+    pub fn due(&mut self, now: time::Time, waiting: bool) -> Vec<Name> {
+        let mut names = Vec::new();
+        for (name, seen) in &mut self.instances {
+            let since = now.since(seen.sent);
+            let asked = self.wanted > seen.sent && since >= POLL_SPACING;
+            let again = waiting && seen.pending == 0 && since >= POLL_SPACING;
+            let overdue = since >= self.interval && seen.pending == 0;
+            let first = seen.sent == time::Time::default() && seen.pending == 0;
+            if first || ((asked || again) && seen.pending < POLLS_IN_FLIGHT) || overdue {
+                seen.sent = now;
+                seen.pending += 1;
+                names.push(name.clone());
+            }
+        }
+        names
+    }
+
+    /// Takes in an answer to a poll, or its absence.
+    pub fn polled(
+        &mut self,
+        now: time::Time,
+        instance: &Name,
+        sent: time::Time,
+        status: Option<position::Status>,
+    ) {
+        let Some(seen) = self.instances.get_mut(instance) else {
+            return;
+        };
+        seen.pending = seen.pending.saturating_sub(1);
+        let Some(status) = status else {
+            return;
+        };
+        let rtt = time::micros(now.since(sent));
+        seen.rtt = if seen.rtt == 0 {
+            rtt
+        } else {
+            (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
+        };
+        self.observe(now, instance, sent, status);
+    }
+
+    /// Takes in a status however it was learnt.
+    pub fn observe(
+        &mut self,
+        now: time::Time,
+        instance: &Name,
+        sent: time::Time,
+        status: position::Status,
+    ) {
+        let Some(seen) = self.instances.get_mut(instance) else {
+            return;
+        };
+        if seen.status.is_some_and(|(at, _)| at > sent) {
+            return;
+        }
+        seen.severed = false;
+        seen.status = Some((sent, status));
+        if status.promised > self.newest {
+            self.newest = status.promised;
+            self.changed = now;
+            self.known = false;
+            self.history.clear();
+        }
+        if status.role == position::Role::Primary && status.term == self.newest {
+            self.live = self.live.max(sent);
+            self.known = true;
+            self.remember(now, sent, status);
+        }
+    }
+
+    fn remember(&mut self, now: time::Time, sent: time::Time, status: position::Status) {
+        let floor = position::Floor {
+            term: status.term,
+            lsn: status.received,
+        };
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back((sent, floor));
+        if self.confirmation(now).is_some() {
+            self.sample = Some(Sample { sent, floor });
+        }
+    }
+
+    /// Primary of the newest term, whether confirmed or not.
+    pub fn primary(&self) -> Option<&Name> {
+        self.instances
+            .iter()
+            .find(|(_, seen)| {
+                seen.status.is_some_and(|(_, s)| {
+                    s.role == position::Role::Primary && s.term == self.newest
+                })
+            })
+            .map(|(name, _)| name)
+    }
+
+    /// Valid confirmation at `now`, if any.
+    pub fn confirmation(&self, now: time::Time) -> Option<Confirmation> {
+        let primary = self.primary()?;
+        let mut sent: Vec<_> = self
+            .instances
+            .values()
+            .filter_map(|seen| seen.status)
+            .filter(|(_, status)| status.promised == self.newest)
+            .map(|(at, _)| at)
+            .collect();
+        sent.sort_unstable_by(|a, b| b.cmp(a));
+        let oldest = *sent.get(self.majority() - 1)?;
+        let until = oldest + self.lease;
+        (until > now).then(|| Confirmation {
+            term: self.newest,
+            primary: primary.clone(),
+            until,
+        })
+    }
+
+    /// Floor of a session that arrived at `arrived`, once a sample allows one.
+    pub fn arrival_floor(&self, arrived: time::Time) -> Option<position::Floor> {
+        let sample = self.sample.as_ref()?;
+        (sample.sent >= arrived).then_some(sample.floor)
+    }
+
+    /// Position that a replica of the newest term must have replayed.
+    fn required(&self, floor: position::Floor) -> Option<position::Lsn> {
+        if floor.term >= self.newest {
+            return (floor.term == self.newest).then_some(floor.lsn);
+        }
+        let start = self
+            .instances
+            .values()
+            .filter_map(|seen| seen.status)
+            .find(|(_, s)| s.term == self.newest)
+            .map(|(_, s)| s.start)?;
+        Some(floor.lsn.min(start))
+    }
+
+    /// Whether the instance can show everything up to the floor.
+    pub fn reaches(&self, instance: &Name, floor: position::Floor) -> bool {
+        let Some((_, status)) = self.instances.get(instance).and_then(|seen| seen.status) else {
+            return false;
+        };
+        status.term == self.newest
+            && self
+                .required(floor)
+                .is_some_and(|lsn| status.replayed >= lsn)
+    }
+
+    /// Upper bound of the age of the data that the instance shows.
+    pub fn age(&self, instance: &Name, now: time::Time) -> Option<std_time::Duration> {
+        let (_, status) = self.instances.get(instance)?.status?;
+        if status.term != self.newest {
+            return None;
+        }
+        self.history
+            .iter()
+            .rev()
+            .find(|(_, floor)| floor.term == status.term && floor.lsn <= status.replayed)
+            .map(|(sent, _)| now.since(*sent))
+    }
+
+    /// Position of the primary from a poll sent at `since` or later.
+    pub fn commit_target(
+        &self,
+        since: time::Time,
+        term: position::Term,
+    ) -> Option<position::Floor> {
+        let (sent, status) = self.instances.get(self.primary()?)?.status?;
+        (sent >= since && status.term == term).then_some(position::Floor {
+            term,
+            lsn: status.received,
+        })
+    }
+
+    /// Whether enough instances hold the position for an acknowledgement.
+    pub fn durable(&self, target: position::Floor) -> bool {
+        if self.durability == Durability::Primary {
+            return true;
+        }
+        let holders = self
+            .instances
+            .values()
+            .filter_map(|seen| seen.status)
+            .filter(|(_, s)| s.term == target.term && s.received >= target.lsn)
+            .count();
+        holders >= self.majority()
+    }
+
+    /// Instances that have just been silent for `limit`.
+    pub fn fallen_silent(&mut self, now: time::Time, limit: std_time::Duration) -> Vec<Name> {
+        let mut names = Vec::new();
+        for (name, seen) in &mut self.instances {
+            let silent = seen.status.is_some_and(|(sent, _)| now.since(sent) > limit);
+            if silent && !seen.severed {
+                seen.severed = true;
+                names.push(name.clone());
+            }
+        }
+        names
+    }
+
+    /// Time for which no primary of the newest term has answered.
+    pub fn silence(&self, now: time::Time) -> std_time::Duration {
+        now.since(self.live.max(self.changed))
+    }
+
+    /// Whether the newest term ever had a primary that answered here.
+    pub fn had_primary(&self) -> bool {
+        self.known
+    }
+}
--- /dev/null
+++ b/components/kernel/src/lib.rs
@@ -0,0 +1,26 @@
+//! The decisions of the fleet as deterministic state machines.
+//!
+//! [`Daemon`] takes `(now, Event)` and gives `Vec<Action>`. It has no I/O, no
+//! threads, no clock and no randomness of its own, so a driver can be a real
+//! daemon, a scenario or any other bench. One module holds one decision.
+
+pub mod admission;
+pub mod budget;
+pub mod consistency;
+mod control;
+mod daemon;
+pub mod event;
+pub mod group;
+pub mod journal;
+pub mod membership;
+pub mod message;
+pub mod plugin;
+pub mod position;
+pub mod promotion;
+pub mod revision;
+mod sessions;
+pub mod sharing;
+pub mod time;
+
+pub use daemon::{Daemon, Setup};
+pub use event::{Action, Event};
--- /dev/null
+++ b/components/kernel/src/membership.rs
@@ -0,0 +1,335 @@
+//! Which VMs are live, and until when the configuration is known to be in force.
+//!
+//! Two times are kept for every VM. `proof` is a lower bound of the time at
+//! which it was live with a state that this daemon has caught up with; it comes
+//! only from answered pings. `touch` is an upper bound of the time at which it
+//! was last heard of by anybody; it decides on silence.
+
+use std::{collections, time as std_time};
+
+use config::Name;
+
+use crate::{event, message, time};
+
+/// Periods without an answer after which a VM no longer serves as relay.
+const RELAY_PERIODS: u32 = 5;
+
+/// What is known of another VM.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Entry of the platform's list; none if only heard of.
+    pub listed: Option<event::Vm>,
+    /// Run of its daemon; 0 if unknown.
+    pub incarnation: u64,
+    /// Lower bound of the time at which it was live and caught up with.
+    pub proof: time::Time,
+    /// Upper bound of the time at which it was last heard of.
+    pub touch: time::Time,
+    /// Revision in force there.
+    pub revision: u64,
+    /// Budget epoch confirmed there.
+    pub epoch: u64,
+}
+
+/// Membership as seen by one daemon.
+#[derive(Debug)]
+pub struct Membership {
+    vm: Name,
+    region: Name,
+    incarnation: u64,
+    peers: collections::BTreeMap<Name, Peer>,
+    known: bool,
+    stored: Option<time::Time>,
+    pinged: Option<time::Time>,
+    period: std_time::Duration,
+    refusal: std_time::Duration,
+}
+
+impl Membership {
+    /// Membership of a daemon that has seen no list yet.
+    pub fn new(vm: Name, region: Name, incarnation: u64, timing: &config::Timing) -> Self {
+        Self {
+            vm,
+            region,
+            incarnation,
+            peers: collections::BTreeMap::new(),
+            known: false,
+            stored: None,
+            pinged: None,
+            period: timing.gossip,
+            refusal: timing.refusal,
+        }
+    }
+
+    /// Other VMs by name.
+    pub fn peers(&self) -> &collections::BTreeMap<Name, Peer> {
+        &self.peers
+    }
+
+    /// This run as a member.
+    pub fn own(&self) -> event::Member {
+        event::Member {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Takes over the platform's list.
+    pub fn list(&mut self, vms: Vec<event::Vm>, now: time::Time) {
+        self.known = true;
+        for peer in self.peers.values_mut() {
+            peer.listed = None;
+        }
+        for vm in vms {
+            if vm.name == self.vm {
+                continue;
+            }
+            let peer = self.peers.entry(vm.name.clone()).or_insert_with(|| Peer {
+                listed: None,
+                incarnation: 0,
+                proof: time::Time::default(),
+                touch: now,
+                revision: 0,
+                epoch: 0,
+            });
+            peer.listed = Some(vm);
+        }
+        let refusal = self.refusal;
+        self.peers
+            .retain(|_, peer| peer.listed.is_some() || now.since(peer.touch) <= refusal * 10);
+    }
+
+    /// The store answered a read sent at `sent` with nothing newer than ours.
+    pub fn confirm(&mut self, sent: time::Time) {
+        self.stored = self.stored.max(Some(sent));
+    }
+
+    /// VMs to ping now, if the period has passed or `at_once` is set.
+    pub fn due(&mut self, now: time::Time, at_once: bool) -> Vec<Name> {
+        let passed = self.pinged.is_none_or(|at| now.since(at) >= self.period);
+        if !passed && !at_once {
+            return Vec::new();
+        }
+        self.pinged = Some(now);
+        self.targets(now)
+    }
+
+    /// VMs that this one exchanges with: its region, and as the region's relay
+    /// the relays of the others.
+    pub fn targets(&self, now: time::Time) -> Vec<Name> {
+        let mut names = Vec::new();
+        let mut relays = collections::BTreeMap::new();
+        for (name, peer) in &self.peers {
+            let Some(listed) = &peer.listed else {
+                continue;
+            };
+            if listed.region == self.region {
+                names.push(name.clone());
+            } else if self.responsive(peer, now) {
+                relays.entry(&listed.region).or_insert(name);
+            }
+        }
+        if self.is_relay(now) {
+            names.extend(relays.into_values().cloned());
+            names.extend(self.unanswered_regions(now));
+        }
+        names
+    }
+
+    /// Whether this VM exchanges with other regions.
+    pub fn is_relay(&self, now: time::Time) -> bool {
+        !self.peers.iter().any(|(name, peer)| {
+            let near = peer
+                .listed
+                .as_ref()
+                .is_some_and(|vm| vm.region == self.region);
+            near && *name < self.vm && self.responsive(peer, now)
+        })
+    }
+
+    /// Every VM of the regions in which none has answered of late.
+    fn unanswered_regions(&self, now: time::Time) -> Vec<Name> {
+        let listed = || {
+            self.peers
+                .iter()
+                .filter_map(|(name, peer)| peer.listed.as_ref().map(|vm| (name, peer, vm)))
+        };
+        let answered: collections::BTreeSet<_> = listed()
+            .filter(|(_, peer, _)| self.responsive(peer, now))
+            .map(|(_, _, vm)| &vm.region)
+            .collect();
+        listed()
+            .filter(|(_, _, vm)| vm.region != self.region && !answered.contains(&vm.region))
+            .map(|(name, _, _)| name.clone())
+            .collect()
+    }
+
+    fn responsive(&self, peer: &Peer, now: time::Time) -> bool {
+        peer.proof != time::Time::default() && now.since(peer.proof) <= self.period * RELAY_PERIODS
+    }
+
+    /// Report for an exchange.
+    pub fn report(&self, now: time::Time, revision: u64, epoch: u64) -> message::Report {
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.proof != time::Time::default())
+            .map(|(name, peer)| message::Heard {
+                vm: name.clone(),
+                incarnation: peer.incarnation,
+                age: time::micros(now.since(peer.proof)),
+                revision: peer.revision,
+                epoch: peer.epoch,
+            })
+            .collect();
+        message::Report {
+            incarnation: self.incarnation,
+            revision,
+            epoch,
+            heard,
+        }
+    }
+
+    /// Takes in a ping: proof for silence only.
+    pub fn pinged(&mut self, from: &Name, now: time::Time, report: &message::Report) {
+        self.learn(from, now, report, None);
+    }
+
+    /// Takes in the answer to a ping sent at `sent`. `current` tells whether
+    /// this daemon has caught up with a revision and an epoch.
+    pub fn ponged(
+        &mut self,
+        from: &Name,
+        now: time::Time,
+        sent: time::Time,
+        report: &message::Report,
+        current: &dyn Fn(u64, u64) -> bool,
+    ) {
+        let proof = current(report.revision, report.epoch).then_some(sent);
+        self.learn(from, now, report, proof);
+        for heard in &report.heard {
+            if heard.vm == self.vm {
+                continue;
+            }
+            let age = std_time::Duration::from_micros(heard.age);
+            let proof = current(heard.revision, heard.epoch).then(|| sent.before(age));
+            let summary = message::Report {
+                incarnation: heard.incarnation,
+                revision: heard.revision,
+                epoch: heard.epoch,
+                heard: Vec::new(),
+            };
+            self.learn(&heard.vm, now.before(age), &summary, proof);
+        }
+    }
+
+    fn learn(
+        &mut self,
+        vm: &Name,
+        touch: time::Time,
+        report: &message::Report,
+        proof: Option<time::Time>,
+    ) {
+        let peer = self.peers.entry(vm.clone()).or_insert_with(|| Peer {
+            listed: None,
+            incarnation: report.incarnation,
+            proof: time::Time::default(),
+            touch,
+            revision: 0,
+            epoch: 0,
+        });
+        if report.incarnation > peer.incarnation {
+            peer.incarnation = report.incarnation;
+            peer.revision = 0;
+            peer.epoch = 0;
+        }
+        if report.incarnation < peer.incarnation {
+            return;
+        }
+        peer.touch = peer.touch.max(touch);
+        peer.revision = peer.revision.max(report.revision);
+        peer.epoch = peer.epoch.max(report.epoch);
+        if let Some(proof) = proof {
+            peer.proof = peer.proof.max(proof);
+        }
+    }
+
+    fn listed(&self) -> impl Iterator<Item = (&Name, &Peer)> {
+        self.peers.iter().filter(|(_, peer)| peer.listed.is_some())
+    }
+
+    /// Lower bound of the time at which a majority was last heard.
+    pub fn majority_time(&self, now: time::Time) -> Option<time::Time> {
+        if !self.known {
+            return None;
+        }
+        let mut proofs: Vec<_> = self.listed().map(|(_, peer)| peer.proof).collect();
+        proofs.push(now);
+        proofs.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = proofs.len() / 2 + 1;
+        let at = proofs[needed - 1];
+        (at != time::Time::default()).then_some(at)
+    }
+
+    /// Whether a majority was heard within the refusal time.
+    pub fn sees_majority(&self, now: time::Time) -> bool {
+        self.majority_time(now)
+            .is_some_and(|at| now.since(at) < self.refusal)
+    }
+
+    /// End of the time for which the configuration here counts as in force.
+    pub fn fresh_until(&self, now: time::Time) -> Option<time::Time> {
+        let at = self.majority_time(now).max(self.stored)?;
+        Some(at + self.refusal)
+    }
+
+    /// Whether the VM is gone: not listed, and silent for the refusal time.
+    pub fn is_gone(&self, member: &event::Member, now: time::Time) -> bool {
+        if member.vm == self.vm {
+            return member.incarnation != self.incarnation;
+        }
+        let Some(peer) = self.peers.get(&member.vm) else {
+            return self.known;
+        };
+        if peer.incarnation > member.incarnation {
+            return true;
+        }
+        peer.listed.is_none() && self.is_silent(peer, now)
+    }
+
+    /// Whether nobody has heard of the VM for the refusal time.
+    pub fn is_silent(&self, peer: &Peer, now: time::Time) -> bool {
+        now.since(peer.touch) > self.refusal
+    }
+
+    /// Listed VMs that neither reached the revision nor have been silent.
+    pub fn behind(&self, revision: u64, now: time::Time) -> Vec<Name> {
+        self.listed()
+            .filter(|(_, peer)| peer.revision < revision && !self.is_silent(peer, now))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Runs that are listed and answer, this one included.
+    pub fn live(&self, now: time::Time) -> Vec<event::Member> {
+        let answering = self
+            .listed()
+            .filter(|(_, peer)| peer.incarnation != 0 && !self.is_silent(peer, now));
+        let mut members: Vec<_> = answering
+            .filter(|(_, peer)| peer.listed.as_ref().is_some_and(|vm| !vm.leaving))
+            .map(|(name, peer)| event::Member {
+                vm: name.clone(),
+                incarnation: peer.incarnation,
+            })
+            .collect();
+        members.push(self.own());
+        members.sort();
+        members
+    }
+
+    /// Failure domain of a VM.
+    pub fn domain(&self, vm: &str) -> Option<&Name> {
+        let listed = self.peers.get(vm)?.listed.as_ref()?;
+        Some(&listed.domain)
+    }
+}
--- /dev/null
+++ b/components/kernel/src/message.rs
@@ -0,0 +1,75 @@
+//! Messages between daemons.
+//!
+//! Every message may be lost, doubled or late; none relies on order.
+
+use std::sync;
+
+use config::{Name, Note};
+use serde::{Deserialize, Serialize};
+
+use crate::{budget, event, position, time};
+
+/// How long ago the sender of a report heard of a VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Heard {
+    /// VM.
+    pub vm: Name,
+    /// Run of its daemon.
+    pub incarnation: u64,
+    /// Age of the newest proof that it was live, in microseconds.
+    pub age: u64,
+    /// Revision in force there.
+    pub revision: u64,
+    /// Budget epoch confirmed there.
+    pub epoch: u64,
+}
+
+/// State that a daemon reports with every exchange.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Report {
+    /// Run of the sender's daemon.
+    pub incarnation: u64,
+    /// Revision in force.
+    pub revision: u64,
+    /// Budget epoch up to which no old share is in use.
+    pub epoch: u64,
+    /// What it knows of other VMs.
+    pub heard: Vec<Heard>,
+}
+
+/// A suspicion of a lost primary.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Suspicion {
+    /// Group.
+    pub group: Name,
+    /// Newest term known to the sender.
+    pub term: position::Term,
+}
+
+/// A message between daemons.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Asks for a report; `sent` returns in the answer.
+    Ping(time::Time, Report),
+    /// Answers a ping.
+    Pong(time::Time, Report),
+    /// Asks for the notes after a revision.
+    Fetch(u64),
+    /// Notes that follow the revision, in order.
+    Notes(u64, Vec<sync::Arc<Note>>),
+    /// The whole configuration.
+    Snapshot(sync::Arc<event::Head>),
+    /// The budget epoch in force.
+    Epoch(event::Epoch),
+    /// Asks for a share of a budget.
+    Ask(budget::Ask),
+    /// Gives a share; the giver has debited it.
+    Give(budget::Give),
+    /// The sender cannot reach the primary.
+    Suspect(Suspicion),
+    /// Cancels a statement that runs at the receiver: process and secret.
+    Cancel(i32, i32),
+}
--- /dev/null
+++ b/components/kernel/src/plugin.rs
@@ -0,0 +1,67 @@
+//! Plug-ins of the kernel, which register themselves by name.
+//!
+//! A decision that can be made in more than one way is a trait object built by
+//! a registered plug-in; the settings name the one to use.
+
+use config::Name;
+
+use crate::{admission, consistency, sharing};
+
+/// Builds a queue of waiting requests with a bound.
+pub struct Admission {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Constructor; the bound is in requests.
+    pub build: fn(usize) -> Box<dyn admission::Queue>,
+}
+
+/// Builds a choice of the instance for a read.
+pub struct Reads {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Constructor.
+    pub build: fn() -> Box<dyn consistency::ReadPolicy>,
+}
+
+/// Builds a movement of shares between VMs.
+pub struct Sharing {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Constructor.
+    pub build: fn() -> Box<dyn sharing::SharePolicy>,
+}
+
+inventory::collect!(Admission);
+inventory::collect!(Reads);
+inventory::collect!(Sharing);
+
+fn unknown(name: &Name, names: impl Iterator<Item = &'static str>) -> config::Problem {
+    let mut names: Vec<_> = names.collect();
+    names.sort_unstable();
+    config::Problem::UnknownPolicy(name.to_string(), names.join(", "))
+}
+
+/// Admission plug-in of that name.
+pub fn admission(name: &Name) -> Result<&'static Admission, config::Problem> {
+    let mut all = inventory::iter::<Admission>.into_iter();
+    all.find(|plugin| plugin.name == &***name).ok_or_else(|| {
+        unknown(
+            name,
+            inventory::iter::<Admission>.into_iter().map(|p| p.name),
+        )
+    })
+}
+
+/// Read plug-in of that name.
+pub fn reads(name: &Name) -> Result<&'static Reads, config::Problem> {
+    let mut all = inventory::iter::<Reads>.into_iter();
+    all.find(|plugin| plugin.name == &***name)
+        .ok_or_else(|| unknown(name, inventory::iter::<Reads>.into_iter().map(|p| p.name)))
+}
+
+/// Sharing plug-in of that name.
+pub fn sharing(name: &Name) -> Result<&'static Sharing, config::Problem> {
+    let mut all = inventory::iter::<Sharing>.into_iter();
+    all.find(|plugin| plugin.name == &***name)
+        .ok_or_else(|| unknown(name, inventory::iter::<Sharing>.into_iter().map(|p| p.name)))
+}
--- /dev/null
+++ b/components/kernel/src/position.rs
@@ -0,0 +1,111 @@
+//! Terms, log positions and floors.
+
+use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
+
+/// Term (timeline) of a group's primary.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Term(pub u64);
+
+impl Term {
+    /// The term after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Position in the log of a term.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Lsn(pub u64);
+
+/// What a session must be able to see. Ordered by term, then position.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[display("{term}:{lsn}")]
+#[serde(rename_all = "snake_case")]
+pub struct Floor {
+    /// Term in which the position was reached.
+    pub term: Term,
+    /// Position in that term.
+    pub lsn: Lsn,
+}
+
+/// A token that is not `term:position`.
+#[derive(Clone, Copy, Debug, Display, derive_more::Error)]
+#[display("the token is not term:position")]
+pub struct BadToken;
+
+impl TryFrom<&str> for Floor {
+    type Error = BadToken;
+
+    fn try_from(raw: &str) -> Result<Self, Self::Error> {
+        let (term, lsn) = raw.split_once(':').ok_or(BadToken)?;
+        let term = term.parse().map_err(|_| BadToken)?;
+        let lsn = lsn.parse().map_err(|_| BadToken)?;
+        Ok(Self {
+            term: Term(term),
+            lsn: Lsn(lsn),
+        })
+    }
+}
+
+/// Role that an instance reports.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Accepts writes.
+    #[display("primary")]
+    Primary,
+    /// Follows a primary.
+    #[display("replica")]
+    Replica,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Status {
+    /// Term of its log.
+    pub term: Term,
+    /// Newest term it has accepted, at least `term`.
+    pub promised: Term,
+    /// Its role in `term`.
+    pub role: Role,
+    /// Last position on its durable log.
+    pub received: Lsn,
+    /// Last position visible to reads.
+    pub replayed: Lsn,
+    /// Position at which `term` began.
+    pub start: Lsn,
+}
--- /dev/null
+++ b/components/lab/src/plan.rs
@@ -0,0 +1,189 @@
+//! What a lab consists of.
+
+use std::{fmt::Write, net, time};
+
+/// One VM.
+#[derive(Clone, Debug)]
+pub struct VmPlan {
+    /// Name.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Region.
+    pub region: String,
+}
+
+/// One group of three instances, or as many as there are sites.
+#[derive(Clone, Debug)]
+pub struct GroupPlan {
+    /// Name.
+    pub name: String,
+    /// Failure domain and region of each instance; the first is primary.
+    pub sites: Vec<(String, String)>,
+    /// Connections of each instance.
+    pub connections: u32,
+    /// Execution slots of each instance.
+    pub slots: usize,
+    /// Time that a statement takes.
+    pub work: time::Duration,
+    /// Cost of a new connection.
+    pub connect: time::Duration,
+    /// `majority` or `primary`.
+    pub durability: String,
+}
+
+/// One customer with one key.
+#[derive(Clone, Debug)]
+pub struct CustomerPlan {
+    /// Name.
+    pub name: String,
+    /// Key that its callers show.
+    pub key: String,
+    /// Transactions a second.
+    pub rate: u32,
+    /// Transactions at once.
+    pub burst: u32,
+}
+
+/// One route.
+#[derive(Clone, Debug)]
+pub struct RoutePlan {
+    /// Name.
+    pub name: String,
+    /// Group.
+    pub group: String,
+    /// Stated age in ms; 0 for reads of one's own writes.
+    pub age_ms: u64,
+    /// Open to all.
+    pub open: bool,
+}
+
+/// A whole deployment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// VMs.
+    pub vms: Vec<VmPlan>,
+    /// Groups.
+    pub groups: Vec<GroupPlan>,
+    /// Customers, who may use every route that is not open.
+    pub customers: Vec<CustomerPlan>,
+    /// Routes.
+    pub routes: Vec<RoutePlan>,
+    /// Lag of replicas.
+    pub lag: time::Duration,
+    /// One-way delay between failure domains.
+    pub near: time::Duration,
+    /// One-way delay between regions.
+    pub far: time::Duration,
+    /// Rate between regions, in bytes a second.
+    pub rate: u64,
+    /// Plug-ins of the daemons.
+    pub policy: config::Policy,
+    /// Periods of the daemons.
+    pub timing: config::Timing,
+    /// Bounds of the daemons.
+    pub limits: config::Limits,
+}
+
+const fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+impl Plan {
+    /// Three VMs in three failure domains before one group, without delays.
+    pub fn small() -> Self {
+        let vm = |i: usize| VmPlan {
+            name: format!("vm-{i}"),
+            domain: format!("domain-{i}"),
+            region: "home".into(),
+        };
+        let site = |i: usize| (format!("domain-{i}"), "home".to_string());
+        Self {
+            vms: (1..=3).map(vm).collect(),
+            groups: vec![GroupPlan {
+                name: "orders".into(),
+                sites: (1..=3).map(site).collect(),
+                connections: 16,
+                slots: 4,
+                work: time::Duration::ZERO,
+                connect: time::Duration::ZERO,
+                durability: "majority".into(),
+            }],
+            customers: vec![CustomerPlan {
+                name: "tienda".into(),
+                key: "key-of-tienda-7f31".into(),
+                rate: 100_000,
+                burst: 100_000,
+            }],
+            routes: vec![RoutePlan {
+                name: "orders".into(),
+                group: "orders".into(),
+                age_ms: 0,
+                open: false,
+            }],
+            lag: time::Duration::ZERO,
+            near: time::Duration::ZERO,
+            far: time::Duration::ZERO,
+            rate: 1 << 40,
+            policy: config::Policy::default(),
+            timing: config::Timing {
+                lease: ms(300),
+                poll: ms(50),
+                suspect: ms(250),
+                gossip: ms(100),
+                refusal: ms(2000),
+                platform: ms(500),
+                stop: ms(10_000),
+            },
+            limits: config::Limits {
+                message: 1 << 20,
+                sessions: 4096,
+                startup: ms(10_000),
+                idle: ms(10_000),
+                wait: ms(5000),
+                queue: 256,
+            },
+        }
+    }
+
+    /// The first release note, with the addresses of the instances.
+    pub(crate) fn note(&self, addresses: &[Vec<net::SocketAddr>]) -> String {
+        let mut out = String::from("note: first\nadded:\n  groups:\n");
+        for (group, addresses) in self.groups.iter().zip(addresses) {
+            let _ = writeln!(out, "    - name: {}", group.name);
+            let _ = writeln!(out, "      durability: {}", group.durability);
+            let _ = writeln!(out, "      instances:");
+            for (i, (address, site)) in addresses.iter().zip(&group.sites).enumerate() {
+                let (name, domain, count) = (&group.name, &site.0, group.connections);
+                let _ = writeln!(
+                    out,
+                    "        - {{name: {name}-{i}, address: \"{address}\", domain: {domain}, connections: {count}}}"
+                );
+            }
+        }
+        let _ = writeln!(out, "  customers:");
+        for customer in &self.customers {
+            let digest: String = config::KeyDigest::of(customer.key.as_bytes()).into();
+            let (name, rate, burst) = (&customer.name, customer.rate, customer.burst);
+            let _ = writeln!(
+                out,
+                "    - {{name: {name}, rate: {rate}, burst: {burst}, keys: [{{name: first, digest: \"{digest}\"}}]}}"
+            );
+        }
+        let _ = writeln!(out, "  routes:");
+        let names: Vec<_> = self.customers.iter().map(|c| c.name.as_str()).collect();
+        for route in &self.routes {
+            let access = if route.open {
+                "open: true".to_string()
+            } else {
+                format!("customers: [{}]", names.join(", "))
+            };
+            let (name, group, age) = (&route.name, &route.group, route.age_ms);
+            let _ = writeln!(
+                out,
+                "    - {{name: {name}, group: {group}, database: {group}, age: {age}ms, {access}}}"
+            );
+        }
+        out
+    }
+}
--- /dev/null
+++ b/components/peer/schema/peer.capnp
@@ -0,0 +1,87 @@
+@0xd6a1f0b3c5e84a27;
+
+# Messages between daemons. Every one may be lost, doubled or late.
+
+interface Peer {
+  deliver @0 (sender :Text, message :Message) -> ();
+}
+
+struct Message {
+  union {
+    ping @0 :Exchange;
+    pong @1 :Exchange;
+    fetch @2 :UInt64;
+    notes @3 :Notes;
+    snapshot @4 :Data;
+    epoch @5 :Epoch;
+    ask @6 :Ask;
+    give @7 :Give;
+    suspect @8 :Suspicion;
+    cancel @9 :Cancel;
+  }
+}
+
+struct Exchange {
+  sent @0 :UInt64;
+  incarnation @1 :UInt64;
+  revision @2 :UInt64;
+  epoch @3 :UInt64;
+  heard @4 :List(Heard);
+}
+
+struct Heard {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  age @2 :UInt64;
+  revision @3 :UInt64;
+  epoch @4 :UInt64;
+}
+
+struct Notes {
+  after @0 :UInt64;
+  # Release notes as JSON, in order.
+  notes @1 :List(Data);
+}
+
+struct Member {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Epoch {
+  number @0 :UInt64;
+  members @1 :List(Member);
+  former @2 :List(Member);
+}
+
+struct Scarce {
+  union {
+    rate @0 :Text;
+    connections @1 :Text;
+  }
+}
+
+struct Ask {
+  scarce @0 :Scarce;
+  epoch @1 :UInt64;
+  nonce @2 :UInt64;
+  units @3 :UInt64;
+}
+
+struct Give {
+  scarce @0 :Scarce;
+  epoch @1 :UInt64;
+  nonce @2 :UInt64;
+  units @3 :UInt64;
+  tokens @4 :UInt64;
+}
+
+struct Suspicion {
+  group @0 :Text;
+  term @1 :UInt64;
+}
+
+struct Cancel {
+  process @0 :Int32;
+  secret @1 :Int32;
+}
--- /dev/null
+++ b/components/peer/src/codec.rs
@@ -0,0 +1,224 @@
+//! Conversion between kernel messages and their wire form.
+
+use std::sync;
+
+use config::Name;
+use kernel::{budget, event, message, position, time};
+
+use crate::{failure, peer_capnp as schema};
+
+type Outcome<T> = Result<T, failure::Failure>;
+
+fn length(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn name(text: capnp::text::Reader<'_>) -> Outcome<Name> {
+    let text = text.to_str().map_err(|_| failure::Failure::Malformed)?;
+    Name::try_from(text).map_err(|_| failure::Failure::Malformed)
+}
+
+fn json<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Outcome<T> {
+    serde_json::from_slice(bytes).map_err(|_| failure::Failure::Malformed)
+}
+
+fn to_json<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
+
+/// Writes a message.
+pub fn write(message: &message::Message, mut to: schema::message::Builder<'_>) {
+    match message {
+        message::Message::Ping(sent, report) => write_exchange(*sent, report, to.init_ping()),
+        message::Message::Pong(sent, report) => write_exchange(*sent, report, to.init_pong()),
+        message::Message::Fetch(after) => to.set_fetch(*after),
+        message::Message::Notes(after, notes) => {
+            let mut to = to.init_notes();
+            to.set_after(*after);
+            let mut list = to.init_notes(length(notes.len()));
+            for (i, note) in (0..).zip(notes) {
+                list.set(i, &to_json(note));
+            }
+        }
+        message::Message::Snapshot(head) => to.set_snapshot(&to_json(head)),
+        message::Message::Epoch(epoch) => write_epoch(epoch, to.init_epoch()),
+        message::Message::Ask(ask) => {
+            let mut to = to.init_ask();
+            to.set_epoch(ask.epoch);
+            to.set_nonce(ask.nonce);
+            to.set_units(ask.units);
+            write_scarce(&ask.scarce, to.init_scarce());
+        }
+        message::Message::Give(give) => {
+            let mut to = to.init_give();
+            to.set_epoch(give.epoch);
+            to.set_nonce(give.nonce);
+            to.set_units(give.units);
+            to.set_tokens(give.tokens);
+            write_scarce(&give.scarce, to.init_scarce());
+        }
+        message::Message::Suspect(suspicion) => {
+            let mut to = to.init_suspect();
+            to.set_group(&**suspicion.group);
+            to.set_term(suspicion.term.0);
+        }
+        message::Message::Cancel(process, secret) => {
+            let mut to = to.init_cancel();
+            to.set_process(*process);
+            to.set_secret(*secret);
+        }
+    }
+}
+
+fn write_exchange(
+    sent: time::Time,
+    report: &message::Report,
+    mut to: schema::exchange::Builder<'_>,
+) {
+    to.set_sent(sent.0);
+    to.set_incarnation(report.incarnation);
+    to.set_revision(report.revision);
+    to.set_epoch(report.epoch);
+    let mut list = to.init_heard(length(report.heard.len()));
+    for (i, heard) in (0..).zip(&report.heard) {
+        let mut to = list.reborrow().get(i);
+        to.set_vm(&**heard.vm);
+        to.set_incarnation(heard.incarnation);
+        to.set_age(heard.age);
+        to.set_revision(heard.revision);
+        to.set_epoch(heard.epoch);
+    }
+}
+
+fn write_epoch(epoch: &event::Epoch, mut to: schema::epoch::Builder<'_>) {
+    to.set_number(epoch.number);
+    write_members(
+        &epoch.members,
+        to.reborrow().init_members(length(epoch.members.len())),
+    );
+    write_members(&epoch.former, to.init_former(length(epoch.former.len())));
+}
+
+fn write_members(
+    members: &[event::Member],
+    mut to: capnp::struct_list::Builder<'_, schema::member::Owned>,
+) {
+    for (i, member) in (0..).zip(members) {
+        let mut to = to.reborrow().get(i);
+        to.set_vm(&**member.vm);
+        to.set_incarnation(member.incarnation);
+    }
+}
+
+fn write_scarce(scarce: &budget::Scarce, mut to: schema::scarce::Builder<'_>) {
+    match scarce {
+        budget::Scarce::Rate(name) => to.set_rate(&***name),
+        budget::Scarce::Connections(name) => to.set_connections(&***name),
+    }
+}
+
+/// Reads a message.
+pub fn read(from: schema::message::Reader<'_>) -> Outcome<message::Message> {
+    use schema::message::Which;
+    Ok(match from.which()? {
+        Which::Ping(from) => {
+            let (sent, report) = read_exchange(from?)?;
+            message::Message::Ping(sent, report)
+        }
+        Which::Pong(from) => {
+            let (sent, report) = read_exchange(from?)?;
+            message::Message::Pong(sent, report)
+        }
+        Which::Fetch(after) => message::Message::Fetch(after),
+        Which::Notes(from) => read_notes(from?)?,
+        Which::Snapshot(from) => message::Message::Snapshot(sync::Arc::new(json(from?)?)),
+        Which::Epoch(from) => message::Message::Epoch(read_epoch(from?)?),
+        Which::Ask(from) => {
+            let from = from?;
+            message::Message::Ask(budget::Ask {
+                scarce: read_scarce(from.get_scarce()?)?,
+                epoch: from.get_epoch(),
+                nonce: from.get_nonce(),
+                units: from.get_units(),
+            })
+        }
+        Which::Give(from) => {
+            let from = from?;
+            message::Message::Give(budget::Give {
+                scarce: read_scarce(from.get_scarce()?)?,
+                epoch: from.get_epoch(),
+                nonce: from.get_nonce(),
+                units: from.get_units(),
+                tokens: from.get_tokens(),
+            })
+        }
+        Which::Suspect(from) => {
+            let from = from?;
+            message::Message::Suspect(message::Suspicion {
+                group: name(from.get_group()?)?,
+                term: position::Term(from.get_term()),
+            })
+        }
+        Which::Cancel(from) => {
+            let from = from?;
+            message::Message::Cancel(from.get_process(), from.get_secret())
+        }
+    })
+}
+
+fn read_notes(from: schema::notes::Reader<'_>) -> Outcome<message::Message> {
+    let mut notes = Vec::new();
+    for note in from.get_notes()?.iter() {
+        notes.push(sync::Arc::new(json(note?)?));
+    }
+    Ok(message::Message::Notes(from.get_after(), notes))
+}
+
+fn read_exchange(from: schema::exchange::Reader<'_>) -> Outcome<(time::Time, message::Report)> {
+    let mut heard = Vec::new();
+    for from in from.get_heard()?.iter() {
+        heard.push(message::Heard {
+            vm: name(from.get_vm()?)?,
+            incarnation: from.get_incarnation(),
+            age: from.get_age(),
+            revision: from.get_revision(),
+            epoch: from.get_epoch(),
+        });
+    }
+    let report = message::Report {
+        incarnation: from.get_incarnation(),
+        revision: from.get_revision(),
+        epoch: from.get_epoch(),
+        heard,
+    };
+    Ok((time::Time(from.get_sent()), report))
+}
+
+fn read_epoch(from: schema::epoch::Reader<'_>) -> Outcome<event::Epoch> {
+    Ok(event::Epoch {
+        number: from.get_number(),
+        members: read_members(from.get_members()?)?,
+        former: read_members(from.get_former()?)?,
+    })
+}
+
+fn read_members(
+    from: capnp::struct_list::Reader<'_, schema::member::Owned>,
+) -> Outcome<Vec<event::Member>> {
+    let mut members = Vec::new();
+    for from in from.iter() {
+        members.push(event::Member {
+            vm: name(from.get_vm()?)?,
+            incarnation: from.get_incarnation(),
+        });
+    }
+    Ok(members)
+}
+
+fn read_scarce(from: schema::scarce::Reader<'_>) -> Outcome<budget::Scarce> {
+    use schema::scarce::Which;
+    Ok(match from.which()? {
+        Which::Rate(text) => budget::Scarce::Rate(name(text?)?),
+        Which::Connections(text) => budget::Scarce::Connections(name(text?)?),
+    })
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Logs as JSON lines and metrics for Prometheus.
+
+mod logger;
+mod metrics;
+
+pub use logger::{Failure, init};
+pub use metrics::{Metrics, Result as Outcome};
--- /dev/null
+++ b/components/wire/src/statements.rs
@@ -0,0 +1,229 @@
+//! Prepared statements of a session, and the plan of a batch.
+//!
+//! A session's statements are prepared on every connection under the pool's
+//! own names, which are digests of the text, so that sessions share them.
+
+use std::{collections, hash, sync};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use errors::Cause;
+use kernel::event;
+
+use crate::{batch, channel, classify, failure};
+
+/// Statements that a session may keep prepared.
+const STATEMENT_LIMIT: usize = 1_000;
+/// Statements that set parameters, kept for other connections.
+const SETTING_LIMIT: usize = 64;
+
+/// A statement prepared by the session.
+#[derive(Debug)]
+pub struct Statement {
+    /// Name at the databases.
+    pub name: Bytes,
+    /// Text and parameter types, as in the Parse message after the name.
+    pub rest: Bytes,
+    /// Class of the text.
+    pub class: classify::Class,
+    /// The text.
+    pub sql: String,
+}
+
+/// One message of a plan.
+#[derive(Debug)]
+pub enum Step {
+    /// Prepare, unless the connection has it.
+    Parse(sync::Arc<Statement>),
+    /// Send a message that uses the statement; body after the name, and what
+    /// goes before the name.
+    Use(u8, Bytes, sync::Arc<Statement>, Bytes),
+    /// Send as it is.
+    Send(channel::Frame),
+    /// Answer CloseComplete without the database.
+    Closed,
+}
+
+/// A batch ready to be sent on any connection.
+#[derive(Debug)]
+pub struct Plan {
+    /// Messages in order.
+    pub steps: Vec<Step>,
+    /// What the batch may do.
+    pub access: event::Access,
+    /// What ended it.
+    pub end: batch::End,
+    /// Statements that change parameters of the session.
+    pub settings: Vec<String>,
+    /// The batch discards all settings.
+    pub discard: bool,
+}
+
+/// What a session carries from one connection to another.
+#[derive(Debug, Default)]
+pub struct Statements {
+    named: collections::HashMap<Bytes, sync::Arc<Statement>>,
+    settings: Vec<String>,
+}
+
+/// Why a batch is not run.
+#[derive(Debug)]
+pub enum Refused {
+    /// With a clear error; the session goes on.
+    Cause(Cause),
+    /// The protocol is broken; the connection is closed.
+    Broken(failure::Failure),
+}
+
+impl From<Cause> for Refused {
+    fn from(cause: Cause) -> Self {
+        Self::Cause(cause)
+    }
+}
+
+impl Statements {
+    /// Statements that bring a fresh connection to the session's parameters.
+    pub fn settings(&self) -> &[String] {
+        &self.settings
+    }
+
+    /// Keeps the parameters that a batch has set.
+    pub fn keep(&mut self, plan: &Plan) {
+        if plan.discard {
+            self.settings.clear();
+        }
+        self.settings.extend(plan.settings.iter().cloned());
+        if self.settings.len() > SETTING_LIMIT {
+            let excess = self.settings.len() - SETTING_LIMIT;
+            self.settings.drain(..excess);
+        }
+    }
+
+    /// Plans a batch.
+    pub fn plan(&mut self, batch: batch::Batch) -> Result<Plan, Refused> {
+        let mut plan = Plan {
+            steps: Vec::with_capacity(batch.frames.len()),
+            access: event::Access::Read,
+            end: batch.end,
+            settings: Vec::new(),
+            discard: false,
+        };
+        for frame in batch.frames {
+            let step = match frame.tag {
+                b'Q' => self.query(frame, &mut plan)?,
+                b'P' => self.parse(&frame, &mut plan)?,
+                b'B' => self.bind(&frame, &mut plan)?,
+                b'D' | b'C' => self.refer(frame, &mut plan)?,
+                _ => Step::Send(frame),
+            };
+            plan.steps.push(step);
+        }
+        Ok(plan)
+    }
+
+    fn query(&self, frame: channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
+        let (sql, _) = split(&frame.body)?;
+        let sql = text(&sql)?;
+        note(plan, classify::classify(&sql), &sql)?;
+        Ok(Step::Send(frame))
+    }
+
+    fn parse(&mut self, frame: &channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
+        let (name, rest) = split(&frame.body)?;
+        let (sql, _) = split(&rest)?;
+        let sql = text(&sql)?;
+        let class = classify::classify(&sql);
+        if class == classify::Class::Unsupported {
+            return Err(Cause::Unsupported.into());
+        }
+        if self.named.len() >= STATEMENT_LIMIT && !self.named.contains_key(&name) {
+            return Err(Cause::NoCapacity.into());
+        }
+        let statement = sync::Arc::new(Statement {
+            name: pool_name(&rest),
+            rest,
+            class,
+            sql,
+        });
+        self.named.insert(name, statement.clone());
+        raise(plan, class);
+        Ok(Step::Parse(statement))
+    }
+
+    fn bind(&self, frame: &channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
+        let (portal, rest) = split(&frame.body)?;
+        let (name, rest) = split(&rest)?;
+        let Some(statement) = self.named.get(&name) else {
+            return Ok(Step::Send(frame.clone()));
+        };
+        note(plan, statement.class, &statement.sql)?;
+        let mut before = BytesMut::with_capacity(portal.len() + 1);
+        before.put_slice(&portal);
+        before.put_u8(0);
+        Ok(Step::Use(b'B', before.freeze(), statement.clone(), rest))
+    }
+
+    /// Describe and Close name a statement or a portal.
+    fn refer(&mut self, frame: channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
+        let kind = frame.body.first().copied();
+        if kind != Some(b'S') {
+            return Ok(Step::Send(frame));
+        }
+        let (name, rest) = split(&frame.body.slice(1..))?;
+        if frame.tag == b'C' {
+            self.named.remove(&name);
+            return Ok(Step::Closed);
+        }
+        let Some(statement) = self.named.get(&name) else {
+            return Ok(Step::Send(frame));
+        };
+        raise(plan, statement.class);
+        let before = frame.body.slice(..1);
+        Ok(Step::Use(frame.tag, before, statement.clone(), rest))
+    }
+}
+
+fn note(plan: &mut Plan, class: classify::Class, sql: &str) -> Result<(), Refused> {
+    match class {
+        classify::Class::Unsupported => return Err(Cause::Unsupported.into()),
+        classify::Class::Set => {
+            let word = sql.trim_start().get(..7).unwrap_or_default();
+            plan.discard |= word.eq_ignore_ascii_case("DISCARD");
+            if !plan.discard {
+                plan.settings.push(sql.to_string());
+            }
+        }
+        _ => raise(plan, class),
+    }
+    Ok(())
+}
+
+fn raise(plan: &mut Plan, class: classify::Class) {
+    if class == classify::Class::Write {
+        plan.access = event::Access::Write;
+    }
+}
+
+/// Splits off a string that ends with a zero byte.
+fn split(body: &Bytes) -> Result<(Bytes, Bytes), Refused> {
+    let end = body.iter().position(|byte| *byte == 0);
+    let end = end.ok_or(Refused::Broken(failure::Failure::Malformed))?;
+    Ok((body.slice(..end), body.slice(end + 1..)))
+}
+
+fn text(bytes: &Bytes) -> Result<String, Refused> {
+    let text = std::str::from_utf8(bytes);
+    text.map(str::to_string)
+        .map_err(|_| Refused::Broken(failure::Failure::Malformed))
+}
+
+fn pool_name(rest: &Bytes) -> Bytes {
+    use hash::{Hash, Hasher};
+    let mut parts = [0; 2];
+    for (seed, part) in (0u8..).zip(&mut parts) {
+        let mut hasher = hash::DefaultHasher::new();
+        seed.hash(&mut hasher);
+        rest.hash(&mut hasher);
+        *part = hasher.finish();
+    }
+    format!("eg_{:016x}{:016x}", parts[0], parts[1]).into()
+}
