Add the command line and the end-to-end tests of the data path

Eight tests with a real client: own reads over daemons with lag, keys, cancel, 200 clients on 16 connections, pipelining, pooled statements, COPY, bad input.

--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -205,7 +205,10 @@
                 },
             };
             match self.exchange(plan, held, continued) {
-                Tried::Done(exchange, held) => return self.complete(exchange, held, measure),
+                Tried::Done(done) => {
+                    let (exchange, held) = *done;
+                    return self.complete(exchange, held, measure);
+                }
                 Tried::Again(next) if std_time::Instant::now() < deadline => {
                     retry = true;
                     access = next.unwrap_or(access);
@@ -334,7 +337,7 @@
                 thread::sleep(RETRY_PAUSE);
                 Tried::Again(None)
             }
-            Ok(exchange) => Tried::Done(exchange, held),
+            Ok(exchange) => Tried::Done(Box::new((exchange, held))),
             Err(wire::Fault::Unsent(_)) if !continued => {
                 self.discard(held, event::Outcome::Unsent);
                 Tried::Again(None)
@@ -444,7 +447,7 @@
 /// Result of one attempt.
 enum Tried {
     /// The database answered.
-    Done(wire::Exchange, Held),
+    Done(Box<(wire::Exchange, Held)>),
     /// It did not run; try again, with other access if given.
     Again(Option<event::Access>),
     /// Nobody can tell whether it ran.
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -504,12 +504,12 @@
             return;
         };
         let now = self.now;
-        if let (true, Some(status)) = (fence.accepted, fence.status) {
-            if let Some(pool) = self.pools.get_mut(&name) {
-                pool.group.observe(now, &fence.instance, now, status);
-                pool.promotion.finish(fence.term);
-                pool.group.want(now);
-            }
+        if let (true, Some(status)) = (fence.accepted, fence.status)
+            && let Some(pool) = self.pools.get_mut(&name)
+        {
+            pool.group.observe(now, &fence.instance, now, status);
+            pool.promotion.finish(fence.term);
+            pool.group.want(now);
         }
         self.refresh(&name);
     }
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -234,10 +234,11 @@
                     group: session.group.clone(),
                 };
                 let group = session.group.clone();
-                if session.floor.is_none() && session.age.is_none() {
-                    if let Some(pool) = self.pools.get_mut(&group) {
-                        pool.group.want(self.now);
-                    }
+                if session.floor.is_none()
+                    && session.age.is_none()
+                    && let Some(pool) = self.pools.get_mut(&group)
+                {
+                    pool.group.want(self.now);
                 }
                 self.sessions.open.insert(id, session);
                 self.out.push(event::Action::Welcome(id, welcome));
--- a/components/kernel/src/plugin.rs
+++ b/components/kernel/src/plugin.rs
@@ -65,3 +65,11 @@
     all.find(|plugin| plugin.name == &***name)
         .ok_or_else(|| unknown(name, inventory::iter::<Sharing>.into_iter().map(|p| p.name)))
 }
+
+/// Checks that every policy of the settings is registered.
+pub fn check(policy: &config::Policy) -> Result<(), config::Problem> {
+    admission(&policy.admission)?;
+    reads(&policy.reads)?;
+    sharing(&policy.budget)?;
+    Ok(())
+}
--- a/components/lab/src/fleet.rs
+++ b/components/lab/src/fleet.rs
@@ -125,7 +125,11 @@
         let platform = self
             .network
             .link_from(self.platform.address(), store, Some(source))?;
-        let daemon = self.start_daemon(&plan, source, platform)?;
+        let port = match self.plan.port {
+            0 => 0,
+            first => first + u16::try_from(index).unwrap_or(0),
+        };
+        let daemon = self.start_daemon(&plan, source, platform, port)?;
         let link = self.network.link(daemon.peer(), place)?;
         self.vms.push(Vm {
             plan,
@@ -142,6 +146,7 @@
         vm: &plan::VmPlan,
         source: net::IpAddr,
         platform: net::SocketAddr,
+        port: u16,
     ) -> Result<daemon::Running, failure::Failure> {
         let name = |raw: &str| Name::try_from(raw).map_err(failure::Failure::Name);
         let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
@@ -151,7 +156,7 @@
             address: source,
             domain: name(&vm.domain)?,
             region: name(&vm.region)?,
-            listen: any,
+            listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port)),
             peer: any,
             admin: any,
             platform: format!("http://{platform}"),
--- a/components/lab/src/plan.rs
+++ b/components/lab/src/plan.rs
@@ -77,6 +77,8 @@
     pub far: time::Duration,
     /// Rate between regions, in bytes a second.
     pub rate: u64,
+    /// First port for callers, one a VM; 0 takes free ones.
+    pub port: u16,
     /// Plug-ins of the daemons.
     pub policy: config::Policy,
     /// Periods of the daemons.
@@ -125,6 +127,7 @@
             near: time::Duration::ZERO,
             far: time::Duration::ZERO,
             rate: 1 << 40,
+            port: 0,
             policy: config::Policy::default(),
             timing: config::Timing {
                 lease: ms(300),
--- a/components/standin/src/session.rs
+++ b/components/standin/src/session.rs
@@ -152,10 +152,10 @@
             return;
         }
         let (process, secret) = (body.get_i32(), body.get_i32());
-        if let Some((expected, flag)) = instance::lock(&self.instance.cancels).get(&process) {
-            if *expected == secret {
-                flag.store(true, atomic::Ordering::SeqCst);
-            }
+        if let Some((expected, flag)) = instance::lock(&self.instance.cancels).get(&process)
+            && *expected == secret
+        {
+            flag.store(true, atomic::Ordering::SeqCst);
         }
     }
 
--- a/components/standin/src/sql.rs
+++ b/components/standin/src/sql.rs
@@ -320,14 +320,14 @@
         }
         ops::ControlFlow::<()>::Continue(())
     });
-    if let ast::Statement::Query(query) = statement {
-        if let Some(ast::LimitClause::LimitOffset { limit, offset, .. }) = &query.limit_clause {
-            for expr in limit
-                .iter()
-                .chain(offset.iter().map(|offset| &offset.value))
-            {
-                note(expr, Some(values::Type::Int8));
-            }
+    if let ast::Statement::Query(query) = statement
+        && let Some(ast::LimitClause::LimitOffset { limit, offset, .. }) = &query.limit_clause
+    {
+        for expr in limit
+            .iter()
+            .chain(offset.iter().map(|offset| &offset.value))
+        {
+            note(expr, Some(values::Type::Int8));
         }
     }
     (1..=highest)
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -222,7 +222,7 @@
 
 /// Asks the database to cancel, and waits until it has taken note.
 pub fn cancel(endpoint: &Endpoint, process: i32, secret: i32) -> Result<(), failure::Failure> {
-    use io::{Read, Write};
+    use io::Write;
     let mut socket = connect(endpoint)?;
     socket.set_read_timeout(Some(CANCEL_TIMEOUT))?;
     let mut request = BytesMut::new();
@@ -231,7 +231,6 @@
     request.put_i32(process);
     request.put_i32(secret);
     socket.write_all(&request)?;
-    let mut byte = [0];
-    socket.read(&mut byte)?;
+    io::copy(&mut socket, &mut io::sink())?;
     Ok(())
 }
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,97 @@
+//! The command line.
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+fn file(help: &'static str) -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .help(help)
+}
+
+fn admin() -> Arg {
+    Arg::new("admin")
+        .long("admin")
+        .value_name("IP:PORT")
+        .default_value("127.0.0.1:9432")
+        .help("Admin address of a daemon")
+}
+
+fn serve() -> Command {
+    Command::new("serve")
+        .about("Run a daemon until SIGTERM or SIGINT")
+        .arg(file("Settings in YAML"))
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Check settings or a release note without using them")
+        .arg(file("Settings or release note in YAML"))
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Apply a release note through a daemon and wait until it is in force")
+        .arg(file("Release note in YAML"))
+        .arg(admin())
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Show what a daemon knows of the fleet, as JSON")
+        .arg(admin())
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Show the decisions of daemons with their causes, oldest first")
+        .arg(admin().action(ArgAction::Append))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON lines"),
+        )
+}
+
+fn digest() -> Command {
+    Command::new("digest").about("Read a key from standard input and print its digest")
+}
+
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Run stand-ins and three daemons on loopback, with a short load")
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .help("End after N seconds instead of serving until interrupted"),
+        )
+        .arg(
+            Arg::new("port")
+                .long("port")
+                .value_name("P")
+                .value_parser(value_parser!(u16))
+                .default_value("0")
+                .help("First of three ports for callers; 0 takes free ones"),
+        )
+}
+
+/// All subcommands.
+pub fn command() -> Command {
+    Command::new("ebonygauge")
+        .about("Database proxy with session consistency")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([
+            serve(),
+            check(),
+            apply(),
+            status(),
+            explain(),
+            digest(),
+            demo(),
+        ])
+}
--- /dev/null
+++ b/src/cmd/digest.rs
@@ -0,0 +1,15 @@
+//! `ebonygauge digest`.
+
+use std::io;
+
+use crate::cmd;
+
+/// Prints the digest of the key on standard input.
+pub fn run() -> cmd::Outcome {
+    let mut key = String::new();
+    let _ = io::stdin().read_line(&mut key);
+    let digest: String =
+        config::KeyDigest::of(key.trim_end_matches(['\r', '\n']).as_bytes()).into();
+    println!("{digest}");
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,26 @@
+//! `ebonygauge serve`.
+
+use error_stack::Report;
+use signal_hook::{consts, iterator};
+
+use crate::{cmd, failure};
+
+/// Runs a daemon until a signal asks for its end.
+pub fn run(matches: &clap::ArgMatches) -> cmd::Outcome {
+    let (text, origin) = cmd::read(cmd::text(matches, "file"))?;
+    let settings = config::read_settings(&text, &origin).map_err(cmd::invalid)?;
+    let fail = |failure| Report::new(failure::Failure::Log(failure));
+    telemetry::init(&settings.level).map_err(fail)?;
+    let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])
+        .map_err(|_| Report::new(failure::Failure::Signals))?;
+    let vm = settings.vm.clone();
+    let running = daemon::Running::start(settings)
+        .map_err(|failure| Report::new(failure::Failure::Daemon(failure)))?;
+    let (listen, peer, admin) = (running.listen(), running.peer(), running.admin());
+    log::info!(vm = &**vm, listen:% = listen, peer:% = peer, admin:% = admin; "listening");
+    signals.forever().next();
+    log::info!(vm = &**vm; "stopping");
+    running.stop();
+    log::info!(vm = &**vm; "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,45 @@
+//! Shared by the end-to-end tests.
+
+#![allow(dead_code)]
+
+use postgres::{Client, NoTls, error::SqlState};
+
+/// A client of the first customer.
+pub fn connect(lab: &lab::Lab, vm: usize) -> Client {
+    Client::connect(&lab.url(vm, 0, 0), NoTls).expect("the daemon lets the customer in")
+}
+
+/// Creates the table of orders.
+pub fn create_orders(lab: &lab::Lab) {
+    let create = "CREATE TABLE orders (id INT PRIMARY KEY, item TEXT, quantity INT)";
+    connect(lab, 0)
+        .batch_execute(create)
+        .expect("the table is created");
+}
+
+/// Places one order.
+pub fn insert(client: &mut Client, id: i32, quantity: i32) -> Result<u64, postgres::Error> {
+    let insert = "INSERT INTO orders (id, item, quantity) VALUES ($1, $2, $3)";
+    client.execute(insert, &[&id, &"harvest loaf", &quantity])
+}
+
+/// Quantity of an order, if it is there.
+pub fn quantity(client: &mut Client, id: i32) -> Result<Option<i32>, postgres::Error> {
+    let select = "SELECT quantity FROM orders WHERE id = $1";
+    let row = client.query_opt(select, &[&id])?;
+    Ok(row.map(|row| row.get(0)))
+}
+
+/// SQLSTATE of an error.
+pub fn state(error: &postgres::Error) -> SqlState {
+    error
+        .code()
+        .cloned()
+        .unwrap_or(SqlState::SUCCESSFUL_COMPLETION)
+}
+
+/// DETAIL of an error.
+pub fn detail(error: &postgres::Error) -> String {
+    let detail = error.as_db_error().and_then(|db| db.detail());
+    detail.unwrap_or_default().to_string()
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,33 +1,270 @@
 //! The whole path with a real client.
 
-use std::time;
+mod common;
 
-use postgres::{Client, NoTls};
+use std::{io::Read, io::Write, net, thread, time};
 
-fn connect(lab: &lab::Lab, vm: usize) -> Client {
-    Client::connect(&lab.url(vm, 0, 0), NoTls).expect("the daemon lets the customer in")
-}
+use postgres::{Client, NoTls, SimpleQueryMessage, error::SqlState};
 
 #[test]
 fn own_write_is_read_on_the_same_and_on_another_daemon() {
     let mut plan = lab::Plan::small();
     plan.lag = time::Duration::from_millis(500);
     let lab = lab::Lab::start(plan).expect("the lab starts");
-    let mut first = connect(&lab, 0);
-    first
-        .batch_execute("CREATE TABLE orders (id INT PRIMARY KEY, item TEXT, quantity INT)")
-        .expect("the table is created");
+    common::create_orders(&lab);
+    let mut first = common::connect(&lab, 0);
     for id in 0..20 {
-        let insert = "INSERT INTO orders (id, item, quantity) VALUES ($1, $2, $3)";
-        let changed = first.execute(insert, &[&id, &"harvest loaf", &(id * 2)]);
+        let changed = common::insert(&mut first, id, id * 2);
         assert_eq!(changed.expect("the order is written"), 1);
-        let select = "SELECT quantity FROM orders WHERE id = $1";
-        let row = first.query_one(select, &[&id]).expect("the order is read");
-        assert_eq!(row.get::<_, i32>(0), id * 2);
-        let mut second = connect(&lab, 1 + usize::try_from(id).unwrap_or(0) % 2);
-        let row = second
-            .query_one(select, &[&id])
-            .expect("the order is read elsewhere");
-        assert_eq!(row.get::<_, i32>(0), id * 2);
+        assert_eq!(
+            common::quantity(&mut first, id).expect("it is read"),
+            Some(id * 2)
+        );
+        let other = 1 + usize::try_from(id).unwrap_or(0) % 2;
+        let mut second = common::connect(&lab, other);
+        assert_eq!(
+            common::quantity(&mut second, id).expect("it is read"),
+            Some(id * 2)
+        );
+    }
+}
+
+#[test]
+fn wrong_key_is_refused_and_no_key_reaches_a_database() {
+    let lab = lab::Lab::start(lab::Plan::small()).expect("the lab starts");
+    for instance in lab.groups[0].instances() {
+        instance.record();
+    }
+    common::create_orders(&lab);
+    let key = lab.plan().customers[0].key.clone();
+    let wrong = lab.url(0, 0, 0).replace(&key, "not-the-key");
+    let Err(error) = Client::connect(&wrong, NoTls) else {
+        panic!("a wrong key was let in");
+    };
+    assert_eq!(common::state(&error), SqlState::INVALID_PASSWORD);
+    assert!(common::detail(&error).starts_with("not run"));
+    let mut client = common::connect(&lab, 0);
+    let leaking = format!("INSERT INTO orders VALUES (1, '{key}', 1)");
+    let error = client
+        .batch_execute(&leaking)
+        .expect_err("a key in a statement is refused");
+    assert_eq!(
+        common::state(&error),
+        SqlState::INVALID_AUTHORIZATION_SPECIFICATION
+    );
+    let parameter = client.execute("INSERT INTO orders VALUES (2, $1, 1)", &[&key]);
+    let error = parameter.expect_err("a key as parameter is refused");
+    assert_eq!(
+        common::state(&error),
+        SqlState::INVALID_AUTHORIZATION_SPECIFICATION
+    );
+    common::insert(&mut client, 3, 1).expect("the session goes on");
+    for instance in lab.groups[0].instances() {
+        let bytes = instance.recorded();
+        assert!(!bytes.is_empty());
+        let found = bytes.windows(key.len()).any(|w| w == key.as_bytes());
+        assert!(!found, "a database saw the key");
+    }
+}
+
+#[test]
+fn cancel_stops_its_statement_and_leaves_the_next_alone() {
+    let lab = lab::Lab::start(lab::Plan::small()).expect("the lab starts");
+    let mut sleeper = common::connect(&lab, 0);
+    let token = sleeper.cancel_token();
+    let cancelled = thread::spawn(move || sleeper.simple_query("SELECT pg_sleep(20)"));
+    let begun = time::Instant::now();
+    let mut done = false;
+    while !done && begun.elapsed() < time::Duration::from_secs(15) {
+        token.cancel_query(NoTls).expect("the cancel is taken");
+        done = cancelled.is_finished();
+    }
+    let error = cancelled
+        .join()
+        .expect("the thread ends")
+        .expect_err("the sleep is cut");
+    assert_eq!(common::state(&error), SqlState::QUERY_CANCELED);
+    let mut next = common::connect(&lab, 0);
+    for _ in 0..50 {
+        token.cancel_query(NoTls).expect("a late cancel is taken");
+        let rows = next
+            .simple_query("SELECT 41 + 1")
+            .expect("the next caller is left alone");
+        let found = rows.iter().any(|message| match message {
+            SimpleQueryMessage::Row(row) => row.get(0) == Some("42"),
+            _ => false,
+        });
+        assert!(found);
+    }
+}
+
+#[test]
+fn two_hundred_clients_share_sixteen_connections_without_mixing() {
+    let mut plan = lab::Plan::small();
+    plan.lag = time::Duration::from_millis(20);
+    plan.limits.wait = time::Duration::from_secs(60);
+    let lab = lab::Lab::start(plan).expect("the lab starts");
+    common::create_orders(&lab);
+    let urls: Vec<_> = (0..3).map(|vm| lab.url(vm, 0, 0)).collect();
+    let callers: Vec<_> = (0..200)
+        .map(|caller| {
+            let url = urls[usize::try_from(caller).unwrap_or(0) % 3].clone();
+            thread::spawn(move || {
+                let mut client = Client::connect(&url, NoTls).expect("it is let in");
+                for round in 0..5 {
+                    let id = caller * 100 + round;
+                    common::insert(&mut client, id, id + 7).expect("it is written");
+                    let mut open = client.transaction().expect("it begins");
+                    let twice = "UPDATE orders SET quantity = quantity + 1 WHERE id = $1";
+                    open.execute(twice, &[&id]).expect("it is changed");
+                    let select = "SELECT id, quantity FROM orders WHERE id = $1";
+                    let row = open.query_one(select, &[&id]).expect("it is read within");
+                    assert_eq!((row.get::<_, i32>(0), row.get::<_, i32>(1)), (id, id + 8));
+                    open.commit().expect("it commits");
+                    let row = client.query_one(select, &[&id]).expect("it is read after");
+                    assert_eq!((row.get::<_, i32>(0), row.get::<_, i32>(1)), (id, id + 8));
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("every answer matches its request");
+    }
+    for instance in lab.groups[0].instances() {
+        assert!(instance.peak_connections() <= 16);
+    }
+    let mut client = common::connect(&lab, 1);
+    let row = client
+        .query_one("SELECT count(*) FROM orders", &[])
+        .expect("it is counted");
+    assert_eq!(row.get::<_, i64>(0), 1000);
+}
+
+#[test]
+fn pipelined_and_streamed_answers_keep_their_order() {
+    let lab = lab::Lab::start(lab::Plan::small()).expect("the lab starts");
+    let mut client = common::connect(&lab, 0);
+    let wide = "x".repeat(60_000);
+    client
+        .batch_execute("CREATE TABLE notes (id INT PRIMARY KEY, body TEXT)")
+        .expect("the table is created");
+    for id in 0..40 {
+        let insert = "INSERT INTO notes (id, body) VALUES ($1, $2)";
+        client
+            .execute(insert, &[&id, &wide])
+            .expect("it is written");
+    }
+    let rows = client
+        .query("SELECT id, body FROM notes ORDER BY id", &[])
+        .expect("it is read");
+    let ids: Vec<i32> = rows.iter().map(|row| row.get(0)).collect();
+    assert_eq!(ids, (0..40).collect::<Vec<_>>());
+    assert!(
+        rows.iter()
+            .all(|row| row.get::<_, &str>(1).len() == wide.len())
+    );
+    let text = client
+        .simple_query("SELECT 1; SELECT 2; SELECT 3")
+        .expect("all three run");
+    let values: Vec<_> = text
+        .iter()
+        .filter_map(|message| match message {
+            SimpleQueryMessage::Row(row) => row.get(0).map(str::to_string),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(values, ["1", "2", "3"]);
+}
+
+#[test]
+fn named_statements_and_parameters_survive_pooling() {
+    let lab = lab::Lab::start(lab::Plan::small()).expect("the lab starts");
+    common::create_orders(&lab);
+    let mut clients: Vec<_> = (0..12).map(|i| common::connect(&lab, i % 3)).collect();
+    let statements: Vec<_> = clients
+        .iter_mut()
+        .map(|client| {
+            client
+                .prepare("SELECT $1::int + 1")
+                .expect("it is prepared")
+        })
+        .collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client
+            .batch_execute(&format!("SET app.caller = '{i}'"))
+            .expect("it is set");
+    }
+    for round in 0..10 {
+        for (i, client) in clients.iter_mut().enumerate() {
+            let row = client
+                .query_one(&statements[i], &[&round])
+                .expect("it runs");
+            assert_eq!(row.get::<_, i32>(0), round + 1);
+            let shown = client.simple_query("SHOW app.caller").expect("it is shown");
+            let own = shown.iter().any(|message| match message {
+                SimpleQueryMessage::Row(row) => row.get(0) == Some(i.to_string().as_str()),
+                _ => false,
+            });
+            assert!(own, "a parameter of another session was seen");
+        }
+    }
+}
+
+#[test]
+fn copy_from_the_caller_is_refused_and_the_session_goes_on() {
+    let lab = lab::Lab::start(lab::Plan::small()).expect("the lab starts");
+    let mut client = common::connect(&lab, 0);
+    let error = client
+        .batch_execute("COPY orders FROM STDIN")
+        .expect_err("it is refused");
+    assert_eq!(common::state(&error), SqlState::FEATURE_NOT_SUPPORTED);
+    client
+        .batch_execute("SELECT 1")
+        .expect("the session goes on");
+}
+
+fn answer_to(address: net::SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut socket = net::TcpStream::connect(address).expect("the daemon listens");
+    socket.write_all(bytes).expect("the bytes are sent");
+    let mut answer = Vec::new();
+    let _ = socket.read_to_end(&mut answer);
+    answer
+}
+
+#[test]
+fn bad_input_closes_that_connection_alone() {
+    let mut plan = lab::Plan::small();
+    plan.limits.startup = time::Duration::from_millis(300);
+    let lab = lab::Lab::start(plan).expect("the lab starts");
+    let address = lab.daemon(0).listen();
+    let mut client = common::connect(&lab, 0);
+    let startup = b"\x00\x00\x00\x24\x00\x03\x00\x00user\0tienda\0database\0orders\0\0";
+    let mut password = startup.to_vec();
+    password[3] = u8::try_from(startup.len()).unwrap_or(0);
+    password.extend_from_slice(b"p\x00\x00\x00\x17key-of-tienda-7f31\0");
+    let mut garbage = password.clone();
+    garbage.extend_from_slice(b"\x01\x02\x03\x04\x05\x06\x07\x08");
+    let mut huge = password.clone();
+    huge.extend_from_slice(b"Q\x7f\xff\xff\xff");
+    let mut short = password.clone();
+    short.extend_from_slice(b"Q\x00\x00\x00\x01");
+    let mut bind = password.clone();
+    bind.extend_from_slice(b"B\x00\x00\x00\x05xS\x00\x00\x00\x04");
+    for bytes in [
+        b"\x00\x00\x00\x00".as_slice(),
+        b"\xff\xff\xff\xff\xff\xff\xff\xff",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\x00\x00\x00\x10",
+        &garbage,
+        &huge,
+        &short,
+        &bind,
+    ] {
+        let answer = answer_to(address, bytes);
+        let clear = bytes.len() < 40 || answer.windows(5).any(|w| w == b"08P01");
+        assert!(clear, "no clear error for {bytes:?}");
+        client
+            .batch_execute("SELECT 1")
+            .expect("other sessions go on");
     }
 }
