--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -152,6 +152,11 @@
         self.peer
     }
 
+    /// Cancel keys of the open sessions: process and secret.
+    pub fn cancel_keys(&self) -> Vec<(i32, i32)> {
+        self.shell.cancel_keys()
+    }
+
     /// Looks at the kernel.
     pub fn inspect<T>(&self, look: impl FnOnce(&kernel::Daemon) -> T) -> T {
         self.shell.inspect(look)
@@ -176,6 +181,8 @@
 
     /// Dies: every connection breaks, nothing is finished or handed over.
     pub fn kill(self) {
+        self.closed.store(true, atomic::Ordering::SeqCst);
+        self.shell.halt();
         self.shell.break_all();
         self.halt();
     }
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -10,6 +10,9 @@
 
 /// Pause before a request that did not run is tried again.
 const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(20);
+/// Time between an answer and the end of its session, so that a client that
+/// reports the end first has taken in the answer.
+const LINGER: std_time::Duration = std_time::Duration::from_millis(250);
 /// Retry hint where no database could be reached, in ms.
 const UNREACHABLE_RETRY_MS: u32 = 500;
 
@@ -41,6 +44,7 @@
     skipping: bool,
     database: String,
     token: Option<position::Floor>,
+    answered: std_time::Instant,
 }
 
 impl Session {
@@ -62,6 +66,7 @@
             skipping: false,
             database: String::new(),
             token: None,
+            answered: std_time::Instant::now(),
         }
     }
 
@@ -76,6 +81,7 @@
         let result = self.serve(route, welcome, key);
         self.drop_held();
         if let Some(refusal) = self.handle.ending() {
+            thread::sleep(LINGER.saturating_sub(self.answered.elapsed()));
             return self.farewell(&refusal);
         }
         match &result {
@@ -87,9 +93,12 @@
         }
     }
 
+    /// Ends the session with an error that reaches the caller even if it has
+    /// sent more meanwhile.
     fn farewell(&mut self, refusal: &Refusal) -> Result<(), wire::Failure> {
         wire::error(&mut self.caller.output, refusal, "FATAL");
-        self.caller.flush()
+        self.caller.flush()?;
+        self.caller.finish(LINGER)
     }
 
     fn serve(
@@ -121,6 +130,7 @@
             if matches!(ended, Ended::Closed) {
                 return Ok(());
             }
+            self.answered = std_time::Instant::now();
         }
     }
 
--- a/components/daemon/src/session.rs
+++ b/components/daemon/src/session.rs
@@ -29,6 +29,10 @@
     let secret = random_secret(&control);
     let handle = sync::Arc::new(shell::Handle::new(Some(control), secret));
     let id = shell.open(handle.clone());
+    if shell.is_halted() {
+        shell.close(id);
+        return Ok(());
+    }
     let result = admit(shell, &mut caller, &startup, id, &handle);
     let result = match result {
         Ok(Some((welcome, key))) => {
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -389,6 +389,15 @@
         vm_digest(&self.settings.vm) << 16 | number
     }
 
+    /// Cancel keys of the open sessions.
+    pub fn cancel_keys(&self) -> Vec<(i32, i32)> {
+        let sessions = read(&self.sessions);
+        let keys = sessions
+            .iter()
+            .map(|(id, handle)| (self.process(*id), handle.secret));
+        keys.collect()
+    }
+
     /// Cancels a statement here, or where its session is.
     pub fn cancel(&self, process: i32, secret: i32) {
         if process >> 16 == vm_digest(&self.settings.vm) {
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -125,10 +125,11 @@
         self.measured = now;
     }
 
-    fn share(&self) -> sharing::Share {
+    fn share(&self, members: usize) -> sharing::Share {
+        let members = u64::try_from(members).unwrap_or(u64::MAX);
         sharing::Share {
             held: self.units,
-            equal: self.equal,
+            equal: self.total / (members + 1),
             demand: self.demand,
         }
     }
@@ -292,7 +293,7 @@
             return false;
         };
         let rested = now.since(part.asked) > BARREN_PERIOD;
-        self.grown && self.policy.moves() && (rested || part.barren < BARREN_ROUNDS)
+        self.policy.moves() && (!self.grown || rested || part.barren < BARREN_ROUNDS)
     }
 
     /// Units of a budget held here.
@@ -300,6 +301,11 @@
         self.parts.get(scarce).map_or(0, |part| part.units)
     }
 
+    /// Whether this VM holds a part of every budget.
+    pub fn is_usable(&self) -> bool {
+        self.grown && self.parts.values().all(|part| part.units > 0)
+    }
+
     /// Tells how many connections are needed now.
     pub fn need(&mut self, instance: &Name, connections: u64) {
         if let Some(part) = self.parts.get_mut(&Scarce::Connections(instance.clone())) {
@@ -313,12 +319,13 @@
         if peers.is_empty() || !self.grown {
             return out;
         }
+        let members = self.epoch.members.len();
         for (scarce, part) in &mut self.parts {
             if matches!(scarce, Scarce::Rate(_)) {
                 part.fill(now);
                 part.measure(now);
             }
-            let units = self.policy.want(part.share());
+            let units = self.policy.want(part.share(members));
             if units == 0 {
                 part.barren = 0;
                 continue;
@@ -357,9 +364,13 @@
         if ask.epoch != self.epoch.number || !self.grown {
             return None;
         }
+        let members = self.epoch.members.len();
         let part = self.parts.get_mut(&ask.scarce)?;
         part.fill(now);
-        let units = self.policy.spare(part.share(), ask.units).min(part.units);
+        let units = self
+            .policy
+            .spare(part.share(members), ask.units)
+            .min(part.units);
         if units == 0 {
             return None;
         }
@@ -413,8 +424,9 @@
     let rank = u64::try_from(rank).unwrap_or(u64::MAX);
     let total = match scarce {
         Scarce::Rate(_) => total,
-        // Every member polls over a connection of its own.
-        Scarce::Connections(_) => total.saturating_sub(members),
+        // Every member polls over a connection of its own, and so does a VM
+        // that is not yet a member.
+        Scarce::Connections(_) => total.saturating_sub(members + 1),
     };
     total / members + u64::from(rank < total % members)
 }
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -379,17 +379,28 @@
     }
 
     fn asked(&mut self, from: &Name, ask: &budget::Ask) {
-        if !self.is_fresh() || matches!(ask.scarce, budget::Scarce::Connections(_)) {
+        if !self.is_fresh() {
             return;
         }
         if let Some(give) = self.budgets.give(ask, self.now) {
+            // Actions are carried out in order: connections close first.
+            self.resize_one(&give.scarce);
             self.send(from.clone(), message::Message::Give(give));
         }
     }
 
     fn given(&mut self, give: &budget::Give) {
-        if self.budgets.credit(give, self.now) {
-            self.admit_lanes();
+        if !self.budgets.credit(give, self.now) {
+            return;
+        }
+        self.resize_one(&give.scarce);
+        match &give.scarce {
+            budget::Scarce::Rate(_) => self.admit_lanes(),
+            budget::Scarce::Connections(instance) => {
+                if let Some(group) = self.group_of(instance) {
+                    self.dispatch(&group);
+                }
+            }
         }
     }
 
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -167,7 +167,7 @@
 
     /// Whether new sessions are welcome.
     pub fn is_ready(&self) -> bool {
-        !self.stopping && self.revision() > 0 && self.is_fresh() && self.budgets.is_grown()
+        !self.stopping && self.revision() > 0 && self.is_fresh() && self.budgets.is_usable()
     }
 
     /// Floor of a session, if known.
@@ -779,10 +779,13 @@
         let Some(pool) = self.pools.get(group) else {
             return;
         };
-        let names: Vec<_> = pool.group.instances.keys().cloned().collect();
-        for name in names {
-            let busy = self.busy.get(&name).copied().unwrap_or(0);
-            self.budgets.need(&name, u64::from(busy));
+        let count = pool.group.instances.len().max(1);
+        for name in pool.group.instances.keys() {
+            let primary = pool.group.primary() == Some(name);
+            let writes = if primary { pool.writes.len() } else { 0 };
+            let waiting = u64::try_from(writes + pool.reads.len() / count).unwrap_or(u64::MAX);
+            let busy = self.busy.get(name).copied().unwrap_or(0);
+            self.budgets.need(name, (u64::from(busy) + waiting).max(1));
         }
     }
 
@@ -891,9 +894,15 @@
 
     /// Tells the driver how many connections it may hold.
     pub(crate) fn resize(&mut self) {
-        for instance in self.owner.keys() {
-            let scarce = budget::Scarce::Connections(instance.clone());
-            let units = u32::try_from(self.budgets.units(&scarce)).unwrap_or(u32::MAX);
+        let instances: Vec<_> = self.owner.keys().cloned().collect();
+        for instance in instances {
+            self.resize_one(&budget::Scarce::Connections(instance));
+        }
+    }
+
+    pub(crate) fn resize_one(&mut self, scarce: &budget::Scarce) {
+        if let budget::Scarce::Connections(instance) = scarce {
+            let units = u32::try_from(self.budgets.units(scarce)).unwrap_or(u32::MAX);
             let action = event::Action::Resize(instance.clone(), units);
             self.out.push(action);
         }
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -38,7 +38,7 @@
     region: Name,
     incarnation: u64,
     peers: collections::BTreeMap<Name, Peer>,
-    known: bool,
+    own_listed: bool,
     stored: Option<time::Time>,
     pinged: Option<time::Time>,
     period: std_time::Duration,
@@ -53,7 +53,7 @@
             region,
             incarnation,
             peers: collections::BTreeMap::new(),
-            known: false,
+            own_listed: false,
             stored: None,
             pinged: None,
             period: timing.gossip,
@@ -76,7 +76,7 @@
 
     /// Takes over the platform's list.
     pub fn list(&mut self, vms: Vec<event::Vm>, now: time::Time) {
-        self.known = true;
+        self.own_listed = vms.iter().any(|vm| vm.name == self.vm);
         for peer in self.peers.values_mut() {
             peer.listed = None;
         }
@@ -260,14 +260,12 @@
 
     /// Lower bound of the time at which a majority was last heard.
     pub fn majority_time(&self, now: time::Time) -> Option<time::Time> {
-        if !self.known {
-            return None;
-        }
         let mut proofs: Vec<_> = self.listed().map(|(_, peer)| peer.proof).collect();
-        proofs.push(now);
+        if self.own_listed {
+            proofs.push(now);
+        }
         proofs.sort_unstable_by(|a, b| b.cmp(a));
-        let needed = proofs.len() / 2 + 1;
-        let at = proofs[needed - 1];
+        let at = *proofs.get(proofs.len() / 2)?;
         (at != time::Time::default()).then_some(at)
     }
 
@@ -289,7 +287,7 @@
             return member.incarnation != self.incarnation;
         }
         let Some(peer) = self.peers.get(&member.vm) else {
-            return self.known;
+            return self.own_listed;
         };
         if peer.incarnation > member.incarnation {
             return true;
--- a/components/kernel/src/sharing.rs
+++ b/components/kernel/src/sharing.rs
@@ -12,7 +12,7 @@
 pub struct Share {
     /// Units held.
     pub held: u64,
-    /// Equal share of the epoch.
+    /// Equal share of the epoch, or what it would be for a VM outside of it.
     pub equal: u64,
     /// Units that would carry the demand of late.
     pub demand: u64,
@@ -46,16 +46,20 @@
 
     fn want(&self, share: Share) -> u64 {
         let target = share.demand * HEADROOM_PERCENT / 100;
-        target.saturating_sub(share.held)
+        target.max(floor(share)).saturating_sub(share.held)
     }
 
     fn spare(&self, share: Share, wanted: u64) -> u64 {
-        let floor = (share.equal * KEEP_PARTS / 16).max(1);
-        let keep = (share.demand * HEADROOM_PERCENT / 100).max(floor);
+        let keep = (share.demand * HEADROOM_PERCENT / 100).max(floor(share));
         share.held.saturating_sub(keep).min(wanted)
     }
 }
 
+/// Units held without any demand, so that a first request finds some.
+fn floor(share: Share) -> u64 {
+    (share.equal * KEEP_PARTS / 16).max(1)
+}
+
 /// Equal shares that never move; the baseline.
 pub struct Static;
 
--- a/components/wire/src/channel.rs
+++ b/components/wire/src/channel.rs
@@ -1,6 +1,6 @@
 //! Buffered frames over a blocking stream.
 
-use std::{io, net, time};
+use std::{io, net, thread, time};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
@@ -12,6 +12,8 @@
 const FLUSH_SIZE: usize = 16 * 1024;
 /// Buffer kept while the connection is idle.
 const IDLE_SIZE: usize = 16 * 1024;
+/// Pause between looks at the input of a connection that ends.
+const FINISH_PERIOD: time::Duration = time::Duration::from_millis(10);
 /// Tag and length.
 const HEADER_SIZE: usize = 5;
 
@@ -190,6 +192,28 @@
         Ok(())
     }
 
+    /// Ends the output, and takes in and drops input for the time, since
+    /// closing a socket with unread input discards what was sent last.
+    pub fn finish(&mut self, limit: time::Duration) -> Result<(), failure::Failure> {
+        let socket = self.socket();
+        socket.shutdown(net::Shutdown::Write)?;
+        socket.set_nonblocking(true)?;
+        let deadline = time::Instant::now() + limit;
+        let mut dropped = [0; 1024];
+        while time::Instant::now() < deadline {
+            let mut socket = self.socket();
+            match io::Read::read(&mut socket, &mut dropped) {
+                Ok(0) => thread::sleep(FINISH_PERIOD),
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    thread::sleep(FINISH_PERIOD);
+                }
+                Err(_) => break,
+            }
+        }
+        Ok(())
+    }
+
     /// Gives back large buffers.
     fn shrink(&mut self) {
         if self.output.capacity() > IDLE_SIZE {
