--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -236,6 +236,7 @@
             event::Action::Promote(instance, term) => {
                 self.monitor(&instance, monitor::Call::Promote(term));
             }
+            event::Action::Listed(vms) => self.note_addresses(&vms),
             event::Action::Send(to, message) => self.send(to, message),
             event::Action::Cancel(process, secret) => self.cancel_soon(process, secret),
             event::Action::Sever(instance) => self.sever(&instance),
@@ -326,7 +327,7 @@
     }
 
     /// Keeps the addresses of peers.
-    pub fn note_addresses(&self, vms: &[event::Vm]) {
+    fn note_addresses(&self, vms: &[event::Vm]) {
         let mut addresses = write(&self.addresses);
         for vm in vms {
             if let Ok(address) = vm.peer.parse() {
--- a/components/daemon/src/store.rs
+++ b/components/daemon/src/store.rs
@@ -57,7 +57,6 @@
                 return;
             };
             if let Ok(vms) = listed {
-                shell.note_addresses(&vms);
                 shell.drive(event::Event::Listed(vms));
             }
             drop(shell);
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -24,6 +24,8 @@
 const DEMAND_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
 /// Shortest time between two rounds of asks for a budget.
 const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(20);
+/// Time for a taker to confirm what it was given.
+const GIVE_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
 /// Rounds of asks without an answer after which none is expected.
 const BARREN_ROUNDS: u32 = 4;
 /// Time after which peers are worth asking again.
@@ -102,14 +104,19 @@
         self.limit.burst * self.units
     }
 
-    fn fill(&mut self, now: time::Time) {
+    /// Level and remainder at `now`.
+    fn filled_at(&self, now: time::Time) -> (u64, u64) {
         let dt = time::micros(now.since(self.filled));
-        self.filled = now;
         let gain = u128::from(self.limit.rate) * u128::from(self.units) * u128::from(dt)
             + u128::from(self.carry);
         let whole = u64::try_from(gain / u128::from(RATE_UNITS)).unwrap_or(u64::MAX);
-        self.carry = u64::try_from(gain % u128::from(RATE_UNITS)).unwrap_or(0);
-        self.level = self.level.saturating_add(whole).min(self.cap());
+        let carry = u64::try_from(gain % u128::from(RATE_UNITS)).unwrap_or(0);
+        (self.level.saturating_add(whole).min(self.cap()), carry)
+    }
+
+    fn fill(&mut self, now: time::Time) {
+        (self.level, self.carry) = self.filled_at(now);
+        self.filled = now;
     }
 
     /// Averages the demand of rate budgets, in units.
@@ -151,6 +158,7 @@
     joined: bool,
     parts: collections::BTreeMap<Scarce, Part>,
     asks: collections::BTreeMap<u64, Scarce>,
+    gives: collections::BTreeMap<u64, time::Time>,
     nonce: u64,
     turn: usize,
     policy: Box<dyn sharing::SharePolicy>,
@@ -167,6 +175,7 @@
             joined: false,
             parts: collections::BTreeMap::new(),
             asks: collections::BTreeMap::new(),
+            gives: collections::BTreeMap::new(),
             turn: 0,
             policy,
         }
@@ -191,6 +200,7 @@
         self.grown = false;
         self.joined = epoch.members.contains(&self.own);
         self.asks.clear();
+        self.gives.clear();
         for (scarce, part) in &mut self.parts {
             part.fill(now);
             part.equal = equal_share(&self.epoch, &self.own, scarce, part.total);
@@ -257,10 +267,19 @@
     pub fn press(&mut self, customer: &Name) {
         if let Some(part) = self.parts.get_mut(&Scarce::Rate(customer.clone())) {
             let step = (part.total / 16).max(1);
-            part.demand = part.demand.max(part.units + step).min(part.total);
+            // Below this part of the burst there is never a whole token.
+            let token = part.total.div_ceil(part.limit.burst.max(1));
+            let wanted = (part.units + step).max(token);
+            part.demand = part.demand.max(wanted).min(part.total);
         }
     }
 
+    /// Whether the customer has a token.
+    pub fn has(&self, customer: &Name, now: time::Time) -> bool {
+        let part = self.parts.get(&Scarce::Rate(customer.clone()));
+        part.is_some_and(|part| part.filled_at(now).0 >= TOKEN)
+    }
+
     /// Takes a token of the customer, if there is one.
     pub fn take(&mut self, customer: &Name, now: time::Time) -> bool {
         let Some(part) = self.parts.get_mut(&Scarce::Rate(customer.clone())) else {
@@ -361,7 +380,8 @@
 
     /// Debits and gives what can be spared.
     pub fn give(&mut self, ask: &Ask, now: time::Time) -> Option<Give> {
-        if ask.epoch != self.epoch.number || !self.grown {
+        let repeated = self.gives.contains_key(&ask.nonce);
+        if ask.epoch != self.epoch.number || !self.grown || repeated {
             return None;
         }
         let members = self.epoch.members.len();
@@ -375,6 +395,7 @@
             return None;
         }
         let tokens = part.remove(units);
+        self.gives.insert(ask.nonce, now);
         Some(Give {
             scarce: ask.scarce.clone(),
             epoch: ask.epoch,
@@ -384,6 +405,17 @@
         })
     }
 
+    /// The taker has credited a share.
+    pub fn took(&mut self, nonce: u64) {
+        self.gives.remove(&nonce);
+    }
+
+    /// Whether a share given was not confirmed in time, and may be lost.
+    pub fn has_leaked(&self, now: time::Time) -> bool {
+        let late = |at: &time::Time| now.since(*at) > GIVE_TIMEOUT;
+        self.gives.values().any(late)
+    }
+
     /// Credits units given for an ask that has not been answered before.
     pub fn credit(&mut self, give: &Give, now: time::Time) -> bool {
         if give.epoch != self.epoch.number || self.asks.get(&give.nonce) != Some(&give.scarce) {
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -8,6 +8,8 @@
 
 /// Shortest time between two budget epochs.
 const EPOCH_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
+/// Shortest time between two epochs that only return lost shares.
+const LEAK_PAUSE: std_time::Duration = std_time::Duration::from_secs(3);
 /// Time that a VM lets each VM before it propose the next epoch.
 const EPOCH_STAGGER: std_time::Duration = std_time::Duration::from_millis(500);
 /// Time after which an unanswered call to the store is repeated.
@@ -90,7 +92,11 @@
             return;
         }
         let report = self.own_report();
+        let vms = self.members.vms().clone();
         for name in targets {
+            if self.members.is_unanswering(&name, self.now) {
+                self.send(name.clone(), message::Message::Vms(vms.clone()));
+            }
             let ping = message::Message::Ping(self.now, report.clone());
             self.send(name, ping);
         }
@@ -100,6 +106,11 @@
         match message {
             message::Message::Ping(sent, report) => self.pinged(from, sent, &report),
             message::Message::Pong(sent, report) => self.ponged(from, sent, &report),
+            message::Message::Vms(vms) => {
+                if self.members.vms().is_empty() {
+                    self.listed(vms);
+                }
+            }
             message::Message::Fetch(after) => self.send_notes(from, after),
             message::Message::Notes(after, notes) => {
                 if self.revisions.extend(after, &notes) {
@@ -111,7 +122,8 @@
             }
             message::Message::Epoch(epoch) => self.adopt_epoch(&epoch),
             message::Message::Ask(ask) => self.asked(from, &ask),
-            message::Message::Give(give) => self.given(&give),
+            message::Message::Give(give) => self.given(from, &give),
+            message::Message::Took(nonce) => self.budgets.took(nonce),
             message::Message::Suspect(suspicion) => self.suspected(from, &suspicion),
             message::Message::Cancel(process, secret) => {
                 self.out.push(event::Action::Cancel(process, secret));
@@ -119,6 +131,11 @@
         }
     }
 
+    pub(crate) fn listed(&mut self, vms: Vec<event::Vm>) {
+        self.out.push(event::Action::Listed(vms.clone()));
+        self.members.list(vms, self.now);
+    }
+
     fn pinged(&mut self, from: &Name, sent: time::Time, report: &message::Report) {
         self.members.pinged(from, self.now, report);
         let own = self.own_report();
@@ -142,6 +159,11 @@
             let fetch = message::Message::Fetch(self.revision());
             self.send(peer.clone(), fetch);
         }
+        let vms = self.members.vms();
+        if !report.listed && !vms.is_empty() {
+            let vms = vms.clone();
+            self.send(peer.clone(), message::Message::Vms(vms));
+        }
         if report.epoch < self.budgets.epoch().number {
             let epoch = self.budgets.epoch().clone();
             self.send(peer.clone(), message::Message::Epoch(epoch));
@@ -342,7 +364,8 @@
             .members
             .iter()
             .any(|member| self.members.is_gone(member, self.now));
-        joined || left
+        let calm = self.now.since(self.control.adopted) >= LEAK_PAUSE;
+        joined || left || (calm && self.budgets.has_leaked(self.now))
     }
 
     fn next_epoch(&self, live: Vec<event::Member>) -> event::Epoch {
@@ -389,10 +412,11 @@
         }
     }
 
-    fn given(&mut self, give: &budget::Give) {
+    fn given(&mut self, from: &Name, give: &budget::Give) {
         if !self.budgets.credit(give, self.now) {
             return;
         }
+        self.send(from.clone(), message::Message::Took(give.nonce));
         self.resize_one(&give.scarce);
         match &give.scarce {
             budget::Scarce::Rate(_) => self.admit_lanes(),
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -136,7 +136,7 @@
             event::Event::Fenced(fence) => self.fenced(&fence),
             event::Event::Promoted(fence) => self.promoted(&fence),
             event::Event::Received(from, message) => self.received(&from, message),
-            event::Event::Listed(vms) => self.members.list(vms, self.now),
+            event::Event::Listed(vms) => self.listed(vms),
             event::Event::Loaded(key, loaded) => self.loaded(key, loaded),
             event::Event::Stored(key, stored) => self.stored(key, stored),
             event::Event::Submitted(ticket, note) => {
@@ -371,7 +371,7 @@
                 };
                 let permitted = self.check(&front.request).is_ok();
                 let expired = front.deadline <= self.now;
-                if permitted && !expired && !self.budgets.take(&customer, self.now) {
+                if permitted && !expired && !self.budgets.has(&customer, self.now) {
                     break;
                 }
                 if let Some(lane) = self.lanes.get_mut(&customer) {
@@ -490,10 +490,15 @@
         if self.free(&confirmation.primary).0 == 0 {
             return false;
         }
+        let (sessions, budgets, now) = (&self.sessions, &self.budgets, self.now);
+        let mut short = collections::BTreeSet::new();
+        let mut paid =
+            |item: &admission::Waiting| is_payable(sessions, budgets, item, now, &mut short);
         let item = self
             .pools
             .get_mut(group)
-            .and_then(|pool| pool.writes.pop(&mut |_| true));
+            .and_then(|pool| pool.writes.pop(&mut paid));
+        self.press(&short);
         let Some(item) = item else {
             return false;
         };
@@ -506,6 +511,13 @@
         true
     }
 
+    /// Asks for more of the budgets that hold requests back.
+    fn press(&mut self, short: &collections::BTreeSet<Name>) {
+        for customer in short {
+            self.budgets.press(customer);
+        }
+    }
+
     fn candidates(&self, pool: &Pool) -> Vec<consistency::Candidate> {
         let confirmation = pool.group.confirmation(self.now);
         let primary = pool.group.primary();
@@ -547,6 +559,8 @@
         }
         let term = pool.group.newest();
         let (sessions, reads, now) = (&self.sessions, &self.reads, self.now);
+        let budgets = &self.budgets;
+        let mut short = collections::BTreeSet::new();
         let mut choice = None;
         let Some(pool) = self.pools.get_mut(group) else {
             return false;
@@ -557,12 +571,16 @@
                 choice = candidates.iter().position(|c| c.free > 0);
                 return choice.is_some();
             };
+            if !is_payable(sessions, budgets, item, now, &mut short) {
+                return false;
+            }
             for candidate in &mut candidates {
                 candidate.fresh = is_fresh(view, session, candidate, now);
             }
             choice = reads.choose(&candidates);
             choice.is_some()
         });
+        self.press(&short);
         let (Some(item), Some(choice)) = (item, choice) else {
             return false;
         };
@@ -591,6 +609,7 @@
         instance: &Name,
         term: position::Term,
     ) {
+        self.pay(request);
         *self.busy.entry(instance.clone()).or_default() += 1;
         let granted = sessions::Granted {
             session: request.session,
@@ -610,6 +629,16 @@
         self.out.push(action);
     }
 
+    /// Takes the token of a request as it goes to a database, so that requests
+    /// that have waited do not run beyond the rate together.
+    fn pay(&mut self, request: &event::Request) {
+        let session = self.sessions.open.get(&request.session);
+        let customer = session.and_then(|session| session.customer.as_ref());
+        if let Some(customer) = customer.filter(|_| !request.retry) {
+            self.budgets.take(customer, self.now);
+        }
+    }
+
     fn released(&mut self, id: event::RequestId, outcome: event::Outcome) {
         let Some(granted) = self.sessions.granted.remove(&id) else {
             return;
@@ -963,6 +992,26 @@
     Refusal::new(Cause::OverRate, hint)
 }
 
+/// Whether the request is paid for, or has a token to take.
+fn is_payable(
+    sessions: &sessions::Sessions,
+    budgets: &budget::Budgets,
+    item: &admission::Waiting,
+    now: time::Time,
+    short: &mut collections::BTreeSet<Name>,
+) -> bool {
+    let session = sessions.open.get(&item.request.session);
+    let customer = session.and_then(|session| session.customer.as_ref());
+    let Some(customer) = customer.filter(|_| !item.request.retry) else {
+        return true;
+    };
+    let paid = budgets.has(customer, now);
+    if !paid && !short.contains(customer) {
+        short.insert(customer.clone());
+    }
+    paid
+}
+
 /// Whether the candidate shows everything that the session must see.
 fn is_fresh(
     group: &group::Group,
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -268,6 +268,8 @@
     Fence(Name, position::Term),
     /// Ask the instance to become primary.
     Promote(Name, position::Term),
+    /// Peers are where this list says.
+    Listed(Vec<Vm>),
     /// Send a message to a peer.
     Send(Name, message::Message),
     /// Break the connections in use to the instance: it was replaced or is
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -38,6 +38,7 @@
     region: Name,
     incarnation: u64,
     peers: collections::BTreeMap<Name, Peer>,
+    vms: Vec<event::Vm>,
     own_listed: bool,
     stored: Option<time::Time>,
     pinged: Option<time::Time>,
@@ -53,6 +54,7 @@
             region,
             incarnation,
             peers: collections::BTreeMap::new(),
+            vms: Vec::new(),
             own_listed: false,
             stored: None,
             pinged: None,
@@ -80,6 +82,7 @@
         for peer in self.peers.values_mut() {
             peer.listed = None;
         }
+        self.vms.clone_from(&vms);
         for vm in vms {
             if vm.name == self.vm {
                 continue;
@@ -99,6 +102,18 @@
             .retain(|_, peer| peer.listed.is_some() || now.since(peer.touch) <= refusal * 10);
     }
 
+    /// The platform's list as last seen.
+    pub fn vms(&self) -> &Vec<event::Vm> {
+        &self.vms
+    }
+
+    /// Whether the VM has not answered of late.
+    pub fn is_unanswering(&self, vm: &str, now: time::Time) -> bool {
+        self.peers
+            .get(vm)
+            .is_none_or(|peer| !self.responsive(peer, now))
+    }
+
     /// The store answered a read sent at `sent` with nothing newer than ours.
     pub fn confirm(&mut self, sent: time::Time) {
         self.stored = self.stored.max(Some(sent));
@@ -186,6 +201,7 @@
             incarnation: self.incarnation,
             revision,
             epoch,
+            listed: !self.vms.is_empty(),
             heard,
         }
     }
@@ -217,6 +233,7 @@
                 incarnation: heard.incarnation,
                 revision: heard.revision,
                 epoch: heard.epoch,
+                listed: true,
                 heard: Vec::new(),
             };
             self.learn(&heard.vm, now.before(age), &summary, proof);
--- a/components/kernel/src/message.rs
+++ b/components/kernel/src/message.rs
@@ -35,6 +35,8 @@
     pub revision: u64,
     /// Budget epoch up to which no old share is in use.
     pub epoch: u64,
+    /// It has a list of VMs.
+    pub listed: bool,
     /// What it knows of other VMs.
     pub heard: Vec<Heard>,
 }
@@ -56,6 +58,8 @@
     Ping(time::Time, Report),
     /// Answers a ping.
     Pong(time::Time, Report),
+    /// The platform's list, for a VM that may not have it.
+    Vms(Vec<event::Vm>),
     /// Asks for the notes after a revision.
     Fetch(u64),
     /// Notes that follow the revision, in order.
@@ -68,6 +72,8 @@
     Ask(budget::Ask),
     /// Gives a share; the giver has debited it.
     Give(budget::Give),
+    /// The share given for the nonce was credited.
+    Took(u64),
     /// The sender cannot reach the primary.
     Suspect(Suspicion),
     /// Cancels a statement that runs at the receiver: process and secret.
--- a/components/peer/schema/peer.capnp
+++ b/components/peer/schema/peer.capnp
@@ -18,6 +18,9 @@
     give @7 :Give;
     suspect @8 :Suspicion;
     cancel @9 :Cancel;
+    vms @10 :List(Vm);
+    # Nonce of a share that was credited.
+    took @11 :UInt64;
   }
 }
 
@@ -27,6 +30,8 @@
   revision @2 :UInt64;
   epoch @3 :UInt64;
   heard @4 :List(Heard);
+  # The sender has a list of VMs.
+  listed @5 :Bool;
 }
 
 struct Heard {
@@ -85,3 +90,11 @@
   process @0 :Int32;
   secret @1 :Int32;
 }
+
+struct Vm {
+  name @0 :Text;
+  domain @1 :Text;
+  region @2 :Text;
+  peer @3 :Text;
+  leaving @4 :Bool;
+}
--- a/components/peer/src/codec.rs
+++ b/components/peer/src/codec.rs
@@ -31,6 +31,7 @@
     match message {
         message::Message::Ping(sent, report) => write_exchange(*sent, report, to.init_ping()),
         message::Message::Pong(sent, report) => write_exchange(*sent, report, to.init_pong()),
+        message::Message::Vms(vms) => write_vms(vms, to.init_vms(length(vms.len()))),
         message::Message::Fetch(after) => to.set_fetch(*after),
         message::Message::Notes(after, notes) => {
             let mut to = to.init_notes();
@@ -57,6 +58,7 @@
             to.set_tokens(give.tokens);
             write_scarce(&give.scarce, to.init_scarce());
         }
+        message::Message::Took(nonce) => to.set_took(*nonce),
         message::Message::Suspect(suspicion) => {
             let mut to = to.init_suspect();
             to.set_group(&**suspicion.group);
@@ -79,6 +81,7 @@
     to.set_incarnation(report.incarnation);
     to.set_revision(report.revision);
     to.set_epoch(report.epoch);
+    to.set_listed(report.listed);
     let mut list = to.init_heard(length(report.heard.len()));
     for (i, heard) in (0..).zip(&report.heard) {
         let mut to = list.reborrow().get(i);
@@ -110,6 +113,17 @@
     }
 }
 
+fn write_vms(vms: &[event::Vm], mut to: capnp::struct_list::Builder<'_, schema::vm::Owned>) {
+    for (i, vm) in (0..).zip(vms) {
+        let mut to = to.reborrow().get(i);
+        to.set_name(&**vm.name);
+        to.set_domain(&**vm.domain);
+        to.set_region(&**vm.region);
+        to.set_peer(&*vm.peer);
+        to.set_leaving(vm.leaving);
+    }
+}
+
 fn write_scarce(scarce: &budget::Scarce, mut to: schema::scarce::Builder<'_>) {
     match scarce {
         budget::Scarce::Rate(name) => to.set_rate(&***name),
@@ -129,6 +143,7 @@
             let (sent, report) = read_exchange(from?)?;
             message::Message::Pong(sent, report)
         }
+        Which::Vms(from) => message::Message::Vms(read_vms(from?)?),
         Which::Fetch(after) => message::Message::Fetch(after),
         Which::Notes(from) => read_notes(from?)?,
         Which::Snapshot(from) => message::Message::Snapshot(sync::Arc::new(json(from?)?)),
@@ -152,6 +167,7 @@
                 tokens: from.get_tokens(),
             })
         }
+        Which::Took(nonce) => message::Message::Took(nonce),
         Which::Suspect(from) => {
             let from = from?;
             message::Message::Suspect(message::Suspicion {
@@ -189,6 +205,7 @@
         incarnation: from.get_incarnation(),
         revision: from.get_revision(),
         epoch: from.get_epoch(),
+        listed: from.get_listed(),
         heard,
     };
     Ok((time::Time(from.get_sent()), report))
@@ -215,6 +232,21 @@
     Ok(members)
 }
 
+fn read_vms(from: capnp::struct_list::Reader<'_, schema::vm::Owned>) -> Outcome<Vec<event::Vm>> {
+    let mut vms = Vec::new();
+    for from in from.iter() {
+        let peer = from.get_peer()?.to_str();
+        vms.push(event::Vm {
+            name: name(from.get_name()?)?,
+            domain: name(from.get_domain()?)?,
+            region: name(from.get_region()?)?,
+            peer: peer.map_err(|_| failure::Failure::Malformed)?.into(),
+            leaving: from.get_leaving(),
+        });
+    }
+    Ok(vms)
+}
+
 fn read_scarce(from: schema::scarce::Reader<'_>) -> Outcome<budget::Scarce> {
     use schema::scarce::Which;
     Ok(match from.which()? {
