--- /dev/null
+++ b/components/bench/src/deployment.rs
@@ -0,0 +1,147 @@
+//! Deployments from YAML.
+
+use std::time;
+
+use serde::Deserialize;
+
+use crate::{failure, load};
+
+/// A VM or an instance at a site.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    /// Name, for VMs.
+    #[serde(default)]
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Region.
+    pub region: String,
+}
+
+/// Sizes of one user of the system.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Deployment {
+    /// Name.
+    pub name: String,
+    /// VMs.
+    pub vms: Vec<Place>,
+    /// Database services.
+    pub services: Vec<String>,
+    /// Sites of the instances of each service.
+    pub sites: Vec<Place>,
+    /// Execution slots of an instance.
+    pub slots: usize,
+    /// Connections of an instance.
+    pub connections: u32,
+    /// Cost of a connection, in ms.
+    pub connect_ms: u64,
+    /// Time that a statement takes, in microseconds.
+    pub work_us: u64,
+    /// Lag of replicas, in ms.
+    pub lag_ms: u64,
+    /// One-way delay between failure domains and to clients, in ms.
+    pub near_ms: u64,
+    /// One-way delay between regions, in ms.
+    pub far_ms: u64,
+    /// Rate of the link between regions, in Mbit/s.
+    pub link_mbit: u64,
+    /// Share of the load of each customer, in percent.
+    pub customers: Vec<u32>,
+    /// Transactions a second on an ordinary day.
+    pub load: u32,
+    /// Rate against the month-end load, in percent.
+    pub rate_percent: u32,
+    /// Share of writes, in percent.
+    pub writes_percent: u32,
+    /// Sessions of each customer and service.
+    pub sessions: usize,
+}
+
+/// Month-end traffic against an ordinary day.
+pub const MONTH_END: u32 = 10;
+
+impl TryFrom<&str> for Deployment {
+    type Error = failure::Failure;
+
+    fn try_from(name: &str) -> Result<Self, Self::Error> {
+        let text = match name {
+            "mozaika" => include_str!("../deployments/mozaika.yaml"),
+            "cosecha" => include_str!("../deployments/cosecha.yaml"),
+            other => {
+                return Err(failure::Failure::Deployment(format!(
+                    "`{other}` is unknown"
+                )));
+            }
+        };
+        serde_saphyr::from_str(text)
+            .map_err(|error| failure::Failure::Deployment(error.to_string()))
+    }
+}
+
+impl Deployment {
+    /// Transactions a second of a customer at month-end, which its rate covers.
+    pub fn month_end(&self, customer: usize) -> u32 {
+        self.load * MONTH_END * self.customers[customer] / 100
+    }
+
+    /// The lab for a variant.
+    pub fn plan(&self, variant: load::Variant) -> lab::Plan {
+        let mut plan = lab::Plan::small();
+        plan.vms = self
+            .vms
+            .iter()
+            .map(|vm| lab::VmPlan {
+                name: vm.name.clone(),
+                domain: vm.domain.clone(),
+                region: vm.region.clone(),
+            })
+            .collect();
+        plan.groups = self.services.iter().map(|name| self.group(name)).collect();
+        plan.customers = (0..self.customers.len())
+            .map(|i| self.customer(i))
+            .collect();
+        plan.routes = self
+            .services
+            .iter()
+            .map(|name| lab::RoutePlan {
+                name: name.clone(),
+                group: name.clone(),
+                age_ms: 0,
+                open: false,
+            })
+            .collect();
+        plan.lag = time::Duration::from_millis(self.lag_ms);
+        plan.near = time::Duration::from_millis(self.near_ms);
+        plan.far = time::Duration::from_millis(self.far_ms);
+        plan.rate = self.link_mbit * 1_000_000 / 8;
+        plan.policy = variant.policy();
+        plan
+    }
+
+    fn group(&self, name: &str) -> lab::GroupPlan {
+        let sites = self.sites.iter();
+        lab::GroupPlan {
+            name: name.into(),
+            sites: sites
+                .map(|s| (s.domain.clone(), s.region.clone()))
+                .collect(),
+            connections: self.connections,
+            slots: self.slots,
+            work: time::Duration::from_micros(self.work_us),
+            connect: time::Duration::from_millis(self.connect_ms),
+            durability: "majority".into(),
+        }
+    }
+
+    fn customer(&self, index: usize) -> lab::CustomerPlan {
+        let rate = self.month_end(index) * self.rate_percent / 100;
+        lab::CustomerPlan {
+            name: format!("customer-{index}"),
+            key: format!("key-of-customer-{index}-51c2"),
+            rate: rate.max(1),
+            burst: rate.max(1),
+        }
+    }
+}
--- a/components/standin/src/instance.rs
+++ b/components/standin/src/instance.rs
@@ -125,6 +125,8 @@
     address: net::SocketAddr,
     next: atomic::AtomicU64,
     peak: atomic::AtomicUsize,
+    replica_reads: atomic::AtomicU64,
+    primary_reads: atomic::AtomicU64,
 }
 
 impl Instance {
@@ -155,6 +157,8 @@
             address: listener.local_addr()?,
             next: atomic::AtomicU64::new(1),
             peak: atomic::AtomicUsize::new(0),
+            replica_reads: atomic::AtomicU64::new(0),
+            primary_reads: atomic::AtomicU64::new(0),
         });
         let accepting = instance.clone();
         thread::spawn(move || accepting.accept(&listener));
@@ -255,6 +259,21 @@
         self.peak.load(atomic::Ordering::Relaxed)
     }
 
+    pub(crate) fn note_read(&self) {
+        let count = if self.is_primary() {
+            &self.primary_reads
+        } else {
+            &self.replica_reads
+        };
+        count.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Reads served as replica and as primary.
+    pub fn reads(&self) -> (u64, u64) {
+        let load = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
+        (load(&self.replica_reads), load(&self.primary_reads))
+    }
+
     /// Whether it is primary in its term and may commit.
     pub fn is_primary(&self) -> bool {
         let state = lock(&self.state);
--- a/components/standin/src/network.rs
+++ b/components/standin/src/network.rs
@@ -30,6 +30,7 @@
     cut: collections::HashSet<(net::IpAddr, net::SocketAddr)>,
     cut_regions: collections::HashSet<(String, String)>,
     open: collections::HashMap<u64, Open>,
+    moved: collections::HashMap<net::SocketAddr, net::SocketAddr>,
 }
 
 #[derive(Debug)]
@@ -114,6 +115,11 @@
         Ok(address)
     }
 
+    /// Leads new connections of a link to another target.
+    pub fn move_link(&self, link: net::SocketAddr, target: net::SocketAddr) {
+        instance::lock(&self.rules).moved.insert(link, target);
+    }
+
     /// Cuts the way from a source address to a link, or restores it.
     pub fn cut(&self, from: net::IpAddr, to: net::SocketAddr, cut: bool) {
         let mut rules = instance::lock(&self.rules);
@@ -191,7 +197,8 @@
         let pair = origin
             .filter(|_| far)
             .map(|o| (o.region, site.region.clone()));
-        let server = net::TcpStream::connect(end.target)?;
+        let moved = instance::lock(&self.rules).moved.get(&end.link).copied();
+        let server = net::TcpStream::connect(moved.unwrap_or(end.target))?;
         for socket in [&caller, &server] {
             socket.set_nodelay(true)?;
         }
--- a/components/standin/src/session.rs
+++ b/components/standin/src/session.rs
@@ -614,6 +614,7 @@
         portal: &Portal,
     ) -> Result<(), failure::Failure> {
         let staged = self.is_writer();
+        self.instance.note_read();
         let rows = self.in_slot(|session| {
             let engine = &session.instance.engine;
             engine.run(statement, &portal.parameters, staged)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, Command, builder, value_parser};
 
 fn file(help: &'static str) -> Arg {
     Arg::new("file")
@@ -78,6 +78,50 @@
         )
 }
 
+fn bench() -> Command {
+    let loads = bench::Load::ALL.iter().map(ToString::to_string);
+    let loads = loads.chain(["all".to_string()]);
+    let seconds = Arg::new("seconds")
+        .long("seconds")
+        .value_name("N")
+        .value_parser(value_parser!(u64))
+        .default_value("10")
+        .help("Length of each load");
+    let losses = Arg::new("losses")
+        .long("losses")
+        .value_name("N")
+        .value_parser(value_parser!(u64))
+        .default_value("3")
+        .help("Losses of the primary in `primary-lost`");
+    Command::new("bench")
+        .about("Measure a load on a whole deployment, beside the baseline")
+        .arg(
+            Arg::new("load")
+                .value_name("LOAD")
+                .required(true)
+                .value_parser(builder::PossibleValuesParser::new(
+                    loads.collect::<Vec<_>>(),
+                ))
+                .help("Load to run"),
+        )
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("NAME")
+                .default_value("mozaika")
+                .value_parser(["mozaika", "cosecha"])
+                .help("Whose sizes to use"),
+        )
+        .arg(seconds)
+        .arg(losses)
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .value_name("FILE")
+                .help("Write JSON lines"),
+        )
+}
+
 /// All subcommands.
 pub fn command() -> Command {
     Command::new("ebonygauge")
@@ -93,5 +137,6 @@
             explain(),
             digest(),
             demo(),
+            bench(),
         ])
 }
--- /dev/null
+++ b/src/cmd/bench.rs
@@ -0,0 +1,60 @@
+//! `ebonygauge bench`.
+
+use std::{fs, io, io::IsTerminal, io::Write, time};
+
+use error_stack::Report;
+
+use crate::{cmd, failure};
+
+fn failed(error: impl ToString) -> Report<failure::Failure> {
+    Report::new(failure::Failure::Load(error.to_string()))
+}
+
+/// Runs loads and prints a table.
+pub fn run(matches: &clap::ArgMatches) -> cmd::Outcome {
+    let name = cmd::text(matches, "deployment");
+    let deployment = ::bench::Deployment::try_from(name).map_err(failed)?;
+    let wanted = cmd::text(matches, "load");
+    let span = matches.get_one::<u64>("seconds").copied().unwrap_or(10);
+    let losses = matches.get_one::<u64>("losses").copied().unwrap_or(3);
+    let mut json = match matches.get_one::<String>("json") {
+        Some(path) => Some(fs::File::create(path).map_err(failed)?),
+        None => None,
+    };
+    ::bench::print_header();
+    for load in ::bench::Load::ALL {
+        if wanted != "all" && wanted != load.to_string() {
+            continue;
+        }
+        for variant in variants(load) {
+            progress(&format!("{load} {variant} ..."));
+            let setup = ::bench::Setup {
+                load,
+                variant,
+                span: time::Duration::from_secs(span),
+                losses: usize::try_from(losses).unwrap_or(usize::MAX),
+            };
+            let row = ::bench::run(&deployment, setup).map_err(failed)?;
+            ::bench::print_row(&row);
+            if let Some(file) = &mut json {
+                let line = serde_json::to_string(&row).unwrap_or_default();
+                writeln!(file, "{line}").map_err(failed)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn variants(load: ::bench::Load) -> Vec<::bench::Variant> {
+    if load == ::bench::Load::Overhead {
+        return vec![::bench::Variant::Product];
+    }
+    vec![::bench::Variant::Product, ::bench::Variant::Baseline]
+}
+
+/// Shows progress on a terminal only.
+fn progress(text: &str) {
+    if io::stderr().is_terminal() {
+        eprintln!("{text}");
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One subcommand a file.
 
 mod apply;
+mod bench;
 mod check;
 mod demo;
 mod digest;
@@ -27,6 +28,7 @@
         Some(("status", matches)) => status::run(matches),
         Some(("explain", matches)) => explain::run(matches),
         Some(("digest", _)) => digest::run(),
+        Some(("bench", matches)) => bench::run(matches),
         Some(("demo", matches)) => demo::run(matches),
         _ => Ok(()),
     }
