--- a/components/bench/src/worker.rs
+++ b/components/bench/src/worker.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync::atomic, thread, time};
 
-use postgres::{Client, NoTls};
+use postgres::{Client, NoTls, Statement};
 use rand::{Rng, SeedableRng, rngs};
 
 /// Pause before a new connection after one was lost.
@@ -55,9 +55,30 @@
     pub reads: u64,
 }
 
+/// A connection with its statements.
+struct Connection {
+    client: Client,
+    insert: Statement,
+    select: Statement,
+}
+
+impl Connection {
+    fn open(url: &str) -> Result<Self, postgres::Error> {
+        let mut client = Client::connect(url, NoTls)?;
+        let insert =
+            client.prepare("INSERT INTO orders (id, item, quantity) VALUES ($1, $2, $3)")?;
+        let select = client.prepare("SELECT quantity FROM orders WHERE id = $1")?;
+        Ok(Self {
+            client,
+            insert,
+            select,
+        })
+    }
+}
+
 struct Session<'a> {
     seen: Seen,
-    client: Option<Client>,
+    client: Option<Connection>,
     url: usize,
     own: collections::VecDeque<i32>,
     random: rngs::SmallRng,
@@ -126,7 +147,7 @@
     fn connect(&mut self) {
         while self.client.is_none() && !self.stopped() {
             let url = &self.seen.task.urls[self.url];
-            match Client::connect(url, NoTls) {
+            match Connection::open(url) {
                 Ok(client) => self.client = Some(client),
                 Err(_) => {
                     self.url = (self.url + 1) % self.seen.task.urls.len();
@@ -149,7 +170,10 @@
         let not_run = detail.is_some_and(|detail| detail.starts_with("not run"));
         let state = error.code().map_or("closed", |code| code.code());
         *self.seen.refused.entry(state.into()).or_default() += 1;
-        let closed = self.client.as_ref().is_none_or(Client::is_closed);
+        let closed = self
+            .client
+            .as_ref()
+            .is_none_or(|open| open.client.is_closed());
         if closed || error.code().is_none() {
             self.client = None;
             self.url = (self.url + 1) % self.seen.task.urls.len();
@@ -162,8 +186,8 @@
         let Some(client) = &mut self.client else {
             return;
         };
-        let insert = "INSERT INTO orders (id, item, quantity) VALUES ($1, $2, $3)";
-        match client.execute(insert, &[&id, &"harvest loaf", &1]) {
+        let insert = client.insert.clone();
+        match client.client.execute(&insert, &[&id, &"harvest loaf", &1]) {
             Ok(_) => {
                 self.done(due);
                 self.seen.acknowledged.push((id, time::Instant::now()));
@@ -189,7 +213,8 @@
         let Some(client) = &mut self.client else {
             return;
         };
-        match client.query_opt("SELECT quantity FROM orders WHERE id = $1", &[&id]) {
+        let select = client.select.clone();
+        match client.client.query_opt(&select, &[&id]) {
             Ok(row) => {
                 self.done(due);
                 self.seen.reads += 1;
