Ask the position behind the commit; keep candidates from splitting votes

Cause 1: an acknowledgement waited for a whole round of polls after the commit's answer, so a VM in the far region paid two round trips of 40 ms. Change: the status is asked for on the same connection right behind the commit; only the replicas are polled afterwards.

Cause 2 (log of decisions): three VMs fenced the same term within 10 ms, the two instances left gave a vote to different ones, and everybody then waited 1.05 s. Ruled out: the lease and the detection (250 + 300 ms as set). Change: every candidate asks the first instance that answers, by name, and goes on to the others only if that one accepts.

--- a/components/bench/src/worker.rs
+++ b/components/bench/src/worker.rs
@@ -142,6 +142,9 @@
             let uniform: f64 = self.random.random_range(1e-9..1.0);
             due += time::Duration::from_secs_f64(-uniform.ln() * gap);
         }
+        // What was due and never begun counts as not answered.
+        let late = due.elapsed().as_secs_f64();
+        self.seen.offered += (late * self.seen.task.rate) as u64;
     }
 
     fn connect(&mut self) {
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -423,7 +423,7 @@
         held: Held,
         measure: &mut Measure<'_>,
     ) -> Result<Ended, wire::Failure> {
-        self.give_back(held, event::Outcome::Committed);
+        self.give_back(held, event::Outcome::Committed(exchange.place));
         let floor = match self.handle.wait() {
             shell::Reply::Acknowledge(floor, until) if self.shell.clock.now() < until => floor,
             _ => {
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -475,14 +475,17 @@
         match step {
             promotion::Step::Wait => {}
             promotion::Step::Suspect => self.tell_suspicion(group),
-            promotion::Step::Fence(term, witness) => {
+            promotion::Step::Fence(term, witness, first) => {
                 self.record(journal::Decision::Fencing {
                     group: group.clone(),
                     term,
                     witness,
                 });
+                self.out.push(event::Action::Fence(first, term));
+            }
+            promotion::Step::FenceOthers(term, first) => {
                 let names: Vec<_> = self.pools[group].group.instances.keys().cloned().collect();
-                for name in names {
+                for name in names.into_iter().filter(|name| *name != first) {
                     self.out.push(event::Action::Fence(name, term));
                 }
             }
@@ -529,7 +532,8 @@
         let now = self.now;
         if let Some(pool) = self.pools.get_mut(&name) {
             let majority = pool.group.majority();
-            pool.promotion.fenced(fence, majority, &pool.group, now);
+            let step = pool.promotion.fenced(fence, majority, &pool.group, now);
+            self.take_step(&name, step);
         }
         self.promote(&name);
     }
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -647,11 +647,11 @@
             *busy = busy.saturating_sub(1);
         }
         let group = granted.group.clone();
-        if outcome == event::Outcome::Committed {
+        if let event::Outcome::Committed(status) = outcome {
             let committing = sessions::Committing {
+                target: status.and_then(|status| place(&granted, status)),
                 granted,
                 since: self.now,
-                target: None,
                 deadline: self.now + self.setup.limits.wait,
             };
             let commits = self.sessions.commits.entry(group.clone()).or_default();
@@ -992,6 +992,17 @@
     Refusal::new(Cause::OverRate, hint)
 }
 
+/// Position that makes the commit durable, if the instance was still primary in
+/// the term of the grant when it reported it.
+fn place(granted: &sessions::Granted, status: position::Status) -> Option<position::Floor> {
+    let term = granted.term;
+    let primary = status.role == position::Role::Primary && status.promised == term;
+    (primary && status.term == term).then_some(position::Floor {
+        term,
+        lsn: status.received,
+    })
+}
+
 /// Whether the request is paid for, or has a token to take.
 fn is_payable(
     sessions: &sessions::Sessions,
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -35,8 +35,8 @@
 pub enum Outcome {
     /// Nothing was committed.
     Clean,
-    /// The database reported success of a write.
-    Committed,
+    /// The database reported success of a write, and perhaps its status after.
+    Committed(Option<position::Status>),
     /// The connection broke before any byte was written.
     Unsent,
     /// The connection broke, or was closed, in any other case.
--- a/components/kernel/src/group.rs
+++ b/components/kernel/src/group.rs
@@ -301,15 +301,31 @@
         if self.durability == Durability::Primary {
             return true;
         }
-        let holders = self
+        // The position is the primary's own, so it holds it.
+        let primary = self.primary();
+        let replicas = self
             .instances
-            .values()
-            .filter_map(|seen| seen.status)
+            .iter()
+            .filter(|(name, _)| primary != Some(*name))
+            .filter_map(|(_, seen)| seen.status)
             .filter(|(_, s)| s.term == target.term && s.received >= target.lsn)
             .count();
+        let holders = replicas + 1;
         holders >= self.majority()
     }
 
+    /// First instance by name that answered a poll sent within `limit`; one that
+    /// stays goes before one that leaves.
+    pub fn first_answering(&self, now: time::Time, limit: std_time::Duration) -> Option<Name> {
+        let answering = self.instances.iter().filter(|(_, seen)| {
+            seen.status
+                .is_some_and(|(sent, _)| now.since(sent) <= limit)
+        });
+        answering
+            .min_by_key(|(name, seen)| (seen.leaving, *name))
+            .map(|(name, _)| name.clone())
+    }
+
     /// Instances that have just been silent for `limit`.
     pub fn fallen_silent(&mut self, now: time::Time, limit: std_time::Duration) -> Vec<Name> {
         let mut names = Vec::new();
--- a/components/kernel/src/promotion.rs
+++ b/components/kernel/src/promotion.rs
@@ -3,7 +3,8 @@
 //! Suspicion by two failure domains starts a candidate. It fences a majority of
 //! the instances at the next term, waits out the lease, and promotes the
 //! highest position among them. Instances accept a term once and from one
-//! candidate, so of two candidates at most one promotes.
+//! candidate, so of two candidates at most one promotes. All candidates ask the
+//! same instance first, so that they do not split the majority between them.
 
 use std::{collections, time as std_time};
 
@@ -33,6 +34,8 @@
 pub struct Attempt {
     /// Term asked for.
     pub term: position::Term,
+    /// Instance that is asked before the others.
+    first: Option<Name>,
     started: time::Time,
     accepted: collections::BTreeMap<Name, position::Status>,
     fenced: Option<time::Time>,
@@ -47,8 +50,10 @@
     Wait,
     /// Tell peers of the suspicion.
     Suspect,
-    /// Fence all instances at the term; the witness agrees.
-    Fence(position::Term, Name),
+    /// Fence the first instance at the term; the witness agrees.
+    Fence(position::Term, Name, Name),
+    /// Fence the other instances too.
+    FenceOthers(position::Term, Name),
     /// Promote the instance.
     Promote(Name, position::Term, position::Lsn),
     /// Give up: this many accepted.
@@ -119,7 +124,7 @@
         if now < lost + delay || now < self.retry {
             return self.tell(judge, now);
         }
-        self.start(group.newest().next(), witness, now)
+        self.start(judge, group, witness, now)
     }
 
     fn tell(&mut self, judge: &Judge, now: time::Time) -> Step {
@@ -130,16 +135,27 @@
         Step::Suspect
     }
 
-    fn start(&mut self, term: position::Term, witness: Name, now: time::Time) -> Step {
+    fn start(
+        &mut self,
+        judge: &Judge,
+        group: &group::Group,
+        witness: Name,
+        now: time::Time,
+    ) -> Step {
+        let Some(first) = group.first_answering(now, judge.suspect) else {
+            return self.tell(judge, now);
+        };
+        let term = group.newest().next();
         self.attempt = Some(Attempt {
             term,
+            first: Some(first.clone()),
             started: now,
             accepted: collections::BTreeMap::new(),
             fenced: None,
             chosen: None,
             ordered: None,
         });
-        Step::Fence(term, witness)
+        Step::Fence(term, witness, first)
     }
 
     /// Hands over from a primary that is leaving; the configuration in force
@@ -160,7 +176,7 @@
         }
         let since = *self.leaving.get_or_insert(now);
         let due = now >= since + LEAVING_GRACE + LEAVING_DRAIN && now >= self.retry;
-        (first && due).then(|| self.start(confirmation.term.next(), judge.vm.clone(), now))
+        (first && due).then(|| self.start(judge, group, judge.vm.clone(), now))
     }
 
     /// Witness in another failure domain, and how many VMs go first.
@@ -189,22 +205,34 @@
         majority: usize,
         group: &group::Group,
         now: time::Time,
-    ) {
+    ) -> Step {
         let Some(attempt) = &mut self.attempt else {
-            return;
+            return Step::Wait;
         };
-        let (true, Some(status)) = (fence.accepted && fence.term == attempt.term, fence.status)
-        else {
-            return;
+        let Some(status) = fence.status.filter(|_| fence.term == attempt.term) else {
+            return Step::Wait;
         };
+        let is_first = attempt.first.as_ref() == Some(&fence.instance);
+        if !fence.accepted {
+            // Another candidate was faster.
+            return if is_first {
+                self.give_up(now)
+            } else {
+                Step::Wait
+            };
+        }
         if attempt.fenced.is_some() {
-            return;
+            return Step::Wait;
         }
         attempt.accepted.insert(fence.instance.clone(), status);
         attempt.chosen = choose(&attempt.accepted, majority, group);
         if attempt.chosen.is_some() {
             attempt.fenced = Some(now);
         }
+        match attempt.first.take_if(|_| is_first) {
+            Some(first) => Step::FenceOthers(attempt.term, first),
+            None => Step::Wait,
+        }
     }
 
     /// Whether a leaving primary gets no new transaction any more.
--- a/components/kernel/tests/common/mod.rs
+++ b/components/kernel/tests/common/mod.rs
@@ -72,6 +72,8 @@
     pub lose_answers: usize,
     pub double: bool,
     pub drop_gives: bool,
+    /// Instances report their status with a commit.
+    pub place_known: bool,
     pub violations: Vec<String>,
     pub log: Vec<String>,
     pub acknowledged: u64,
@@ -218,6 +220,7 @@
             lose_answers: 0,
             double: false,
             drop_gives: false,
+            place_known: true,
             violations: Vec::new(),
             log: Vec::new(),
             acknowledged: 0,
@@ -530,7 +533,7 @@
             (true, true, true) => {
                 status.received.0 += 1;
                 status.replayed = status.received;
-                event::Outcome::Committed
+                event::Outcome::Committed(self.place_known.then_some(*status))
             }
             (true, false, _) => event::Outcome::Clean,
         };
@@ -546,7 +549,7 @@
         if outcome == event::Outcome::Clean {
             self.check_read(&work, instance);
         }
-        if outcome != event::Outcome::Committed {
+        if !matches!(outcome, event::Outcome::Committed(_)) {
             self.work.remove(&id);
         }
         self.post(
--- a/components/wire/src/classify.rs
+++ b/components/wire/src/classify.rs
@@ -17,6 +17,30 @@
     Unsupported,
 }
 
+/// What a statement does to the transaction block.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Boundary {
+    /// Starts it.
+    Begin,
+    /// Ends it with success.
+    Commit,
+    /// Neither.
+    Inside,
+}
+
+/// Tells whether a statement starts or commits a transaction block.
+pub fn boundary(sql: &str) -> Boundary {
+    let word = sql
+        .trim_start()
+        .split(|c: char| !c.is_ascii_alphabetic())
+        .next();
+    match word.unwrap_or_default().to_ascii_uppercase().as_str() {
+        "BEGIN" | "START" => Boundary::Begin,
+        "COMMIT" | "END" => Boundary::Commit,
+        _ => Boundary::Inside,
+    }
+}
+
 /// Words that make a query write or lock.
 const WRITE_WORDS: [&str; 12] = [
     "INSERT",
--- a/components/wire/src/exchange.rs
+++ b/components/wire/src/exchange.rs
@@ -7,9 +7,9 @@
 use std::collections;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use kernel::event;
+use kernel::{event, position};
 
-use crate::{batch, channel, failure, server, statements};
+use crate::{batch, channel, classify, failure, server, statements, status};
 
 /// Held output of a transaction that commits within a batch, in bytes.
 const HELD_LIMIT: usize = 256 * 1024;
@@ -27,6 +27,8 @@
     pub read_only: bool,
     /// End of the answer, for after the acknowledgement.
     pub tail: BytesMut,
+    /// Status of the primary after the batch, if it was asked for.
+    pub place: Option<position::Status>,
     /// The extended protocol skips messages until Sync.
     pub skipping: bool,
 }
@@ -52,6 +54,8 @@
     Made(u8),
     /// ReadyForQuery.
     Ready,
+    /// Answer to the question for the status, up to its ReadyForQuery.
+    Status,
 }
 
 struct Run<'a> {
@@ -66,6 +70,8 @@
     rows: bool,
     error: Option<String>,
     tags: Tags,
+    status: u8,
+    place: Option<position::Status>,
 }
 
 /// What the command tags tell.
@@ -83,7 +89,11 @@
     access: event::Access,
     in_transaction: bool,
 ) -> Result<Exchange, Fault> {
-    let expects = render(plan, server);
+    let mut expects = render(plan, server);
+    if asks_status(plan, access, in_transaction) {
+        put_status(server);
+        expects.push_back(Expect::Status);
+    }
     if let Err((sent, failure)) = server.channel.flush_counted() {
         return Err(if sent == 0 {
             Fault::Unsent(failure)
@@ -104,6 +114,8 @@
         rows: false,
         error: None,
         tags: Tags::default(),
+        status: b'T',
+        place: None,
     };
     let status = run.relay();
     let flushed = run.flushed;
@@ -118,6 +130,24 @@
     }
 }
 
+/// Whether the batch may end in a commit, whose position is asked for at once
+/// behind it, to save a round trip.
+fn asks_status(plan: &statements::Plan, access: event::Access, in_transaction: bool) -> bool {
+    let commits = match plan.boundary {
+        classify::Boundary::Begin => false,
+        classify::Boundary::Commit => true,
+        classify::Boundary::Inside => !in_transaction,
+    };
+    access == event::Access::Write && plan.end != batch::End::Flush && commits
+}
+
+fn put_status(server: &mut server::Server) {
+    let mut body = BytesMut::with_capacity(status::STATUS_SQL.len() + 1);
+    body.put_slice(status::STATUS_SQL.as_bytes());
+    body.put_u8(0);
+    channel::put_frame(&mut server.channel.output, b'Q', &body);
+}
+
 /// Writes the messages of a plan for this connection.
 fn render(plan: &statements::Plan, server: &mut server::Server) -> collections::VecDeque<Expect> {
     let mut expects = collections::VecDeque::new();
@@ -194,11 +224,10 @@
     fn relay(&mut self) -> Result<u8, Fault> {
         loop {
             self.make_up();
-            if self.expects.is_empty() {
-                return Ok(b'T');
-            }
-            if let Some(status) = self.next()? {
-                return Ok(status);
+            match self.expects.front() {
+                None => return Ok(self.status),
+                Some(Expect::Status) => self.next_of_status()?,
+                Some(_) => self.next()?,
             }
         }
     }
@@ -228,19 +257,38 @@
         Fault::Server(failure, self.flushed)
     }
 
-    fn next(&mut self) -> Result<Option<u8>, Fault> {
+    fn next_of_status(&mut self) -> Result<(), Fault> {
+        let frame = self.server.channel.read_frame(server::MESSAGE_LIMIT);
+        let frame = frame.map_err(|f| self.broken(f))?;
+        match frame.tag {
+            b'D' => {
+                let row = server::columns(&frame.body);
+                self.place = row.and_then(|row| status::parse(&row)).ok();
+            }
+            b'Z' => {
+                self.expects.pop_front();
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn next(&mut self) -> Result<(), Fault> {
         if self.rows && !self.server.channel.has_input() {
             self.flush()?;
         }
         let header = self.server.channel.peek_header();
         let (tag, length) = header.map_err(|f| self.broken(f))?;
         if matches!(tag, b'D' | b'd') && !self.commit_held {
-            return self.pass(length).map(|()| None);
+            return self.pass(length);
         }
         let frame = self.server.channel.read_frame(server::MESSAGE_LIMIT);
         let frame = frame.map_err(|f| self.broken(f))?;
         match tag {
-            b'Z' => return Ok(self.ready(&frame)),
+            b'Z' => {
+                self.ready(&frame);
+                return Ok(());
+            }
             b'E' => self.refused(&frame),
             b'C' => self.completed(&frame),
             b'G' => self.fail_copy()?,
@@ -254,7 +302,7 @@
         if self.held.len() > HELD_LIMIT {
             return Err(self.broken(failure::Failure::TooLarge(HELD_LIMIT as u64)));
         }
-        Ok(None)
+        Ok(())
     }
 
     fn flush(&mut self) -> Result<(), Fault> {
@@ -326,17 +374,15 @@
         }
     }
 
-    fn ready(&mut self, frame: &channel::Frame) -> Option<u8> {
+    fn ready(&mut self, frame: &channel::Frame) {
         self.expects.pop_front();
         self.make_up();
-        let last = self.expects.is_empty();
         if self.held.is_empty() {
             frame.encode(&mut self.caller.output);
         } else {
             frame.encode(&mut self.held);
         }
-        let status = frame.body.first().copied().unwrap_or(b'I');
-        last.then_some(status)
+        self.status = frame.body.first().copied().unwrap_or(b'I');
     }
 
     fn finish(mut self, status: u8, mark: usize, end: batch::End) -> Exchange {
@@ -365,6 +411,7 @@
             committed,
             read_only,
             tail,
+            place: self.place,
             skipping: self.error.is_some() && end == batch::End::Flush,
         }
     }
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -194,7 +194,7 @@
 }
 
 /// Columns of a DataRow body.
-fn columns(body: &Bytes) -> Result<Vec<Option<Bytes>>, failure::Failure> {
+pub(crate) fn columns(body: &Bytes) -> Result<Vec<Option<Bytes>>, failure::Failure> {
     use bytes::Buf;
     let mut rest = body.clone();
     let short = failure::Failure::Malformed;
--- a/components/wire/src/statements.rs
+++ b/components/wire/src/statements.rs
@@ -56,6 +56,8 @@
     pub settings: Vec<String>,
     /// The batch discards all settings.
     pub discard: bool,
+    /// Its last statement starts or commits a transaction block.
+    pub boundary: classify::Boundary,
 }
 
 /// What a session carries from one connection to another.
@@ -106,6 +108,7 @@
             end: batch.end,
             settings: Vec::new(),
             discard: false,
+            boundary: classify::Boundary::Inside,
         };
         for frame in batch.frames {
             let step = match frame.tag {
@@ -183,6 +186,7 @@
 }
 
 fn note(plan: &mut Plan, class: classify::Class, sql: &str) -> Result<(), Refused> {
+    plan.boundary = classify::boundary(sql);
     match class {
         classify::Class::Unsupported => return Err(Cause::Unsupported.into()),
         classify::Class::Set => {
--- a/components/wire/src/status.rs
+++ b/components/wire/src/status.rs
@@ -6,11 +6,13 @@
 use crate::{failure, server};
 
 const STATUS_COLUMNS: &str = "term, promised, role, received, replayed, start";
+/// Asks an instance for its status.
+pub(crate) const STATUS_SQL: &str =
+    "SELECT term, promised, role, received, replayed, start FROM platform.status()";
 
 /// Asks for the status of an instance.
 pub fn poll(server: &mut server::Server) -> Result<position::Status, failure::Failure> {
-    let sql = format!("SELECT {STATUS_COLUMNS} FROM platform.status()");
-    let rows = server.rows(&sql)?;
+    let rows = server.rows(STATUS_SQL)?;
     parse(rows.first().map_or(&[], Vec::as_slice))
 }
 
@@ -47,7 +49,8 @@
     Ok((accepted, parse(&row[1..])?))
 }
 
-fn parse(row: &[Option<Bytes>]) -> Result<position::Status, failure::Failure> {
+/// Status in a row of `STATUS_SQL`.
+pub(crate) fn parse(row: &[Option<Bytes>]) -> Result<position::Status, failure::Failure> {
     let role = match text(row, 2)? {
         "primary" => position::Role::Primary,
         "replica" => position::Role::Replica,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -114,6 +114,12 @@
         )
         .arg(seconds)
         .arg(losses)
+        .arg(
+            Arg::new("verbose")
+                .long("verbose")
+                .action(ArgAction::SetTrue)
+                .help("Log the daemons' decisions to standard error"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -21,6 +21,9 @@
         Some(path) => Some(fs::File::create(path).map_err(failed)?),
         None => None,
     };
+    if matches.get_flag("verbose") {
+        telemetry::init("info").map_err(failed)?;
+    }
     ::bench::print_header();
     for load in ::bench::Load::ALL {
         if wanted != "all" && wanted != load.to_string() {
