Save system calls on every request

Cause: a request duplicated its socket, changed it to non-blocking and back, and set the same read timeout again: six calls beside those that move bytes. Change: one shared handle a connection, one look with MSG_DONTWAIT, a timeout set only when it changes.

--- a/components/bench/src/overhead.rs
+++ b/components/bench/src/overhead.rs
@@ -33,6 +33,7 @@
     row.overhead_us = through - straight;
     let (through, straight) = (throughput(&proxy, span), throughput(&direct, span));
     row.throughput_percent = through * 100.0 / straight.max(1.0);
+    row.answered = (through * span.as_secs_f64()) as u64;
     row.p50_ms = row.overhead_us as f64 / 1000.0;
     row.offered = READS as u64 * 2;
     Ok(())
--- a/components/bench/src/report.rs
+++ b/components/bench/src/report.rs
@@ -30,6 +30,8 @@
     pub p99_ms: f64,
     /// Worst-served customer's p99, in ms; without the one over its rate.
     pub worst_p99_ms: f64,
+    /// p99 of each customer, in ms.
+    pub customers_p99_ms: Vec<f64>,
     /// Worst-served customer's p99.9, in ms.
     pub worst_p999_ms: f64,
     /// Worst-served customer's answered share of its load, in percent.
@@ -120,6 +122,8 @@
             }
         }
         self.wrongful_percent = percent(wrongful, inside);
+        let p99 = |c: &Customer| ms(c.latency.value_at_quantile(0.99));
+        self.customers_p99_ms = customers.values().map(p99).collect();
         customers.retain(|index, _| over != Some(*index));
         self.judge(&customers.into_values().collect::<Vec<_>>());
         Ok(())
--- a/components/daemon/src/monitor.rs
+++ b/components/daemon/src/monitor.rs
@@ -113,7 +113,10 @@
     endpoint.timeout = TIMEOUT;
     *connection = wire::Server::connect(endpoint, &shell.pool.login(DATABASE))
         .ok()
-        .filter(|server| server.channel.set_read_timeout(Some(TIMEOUT)).is_ok());
+        .and_then(|mut server| {
+            let limited = server.channel.set_read_timeout(Some(TIMEOUT));
+            limited.is_ok().then_some(server)
+        });
 }
 
 fn ask(
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -124,7 +124,8 @@
     }
 }
 
-type Sockets = collections::HashMap<Name, collections::HashMap<event::RequestId, net::TcpStream>>;
+type Used = collections::HashMap<event::RequestId, sync::Arc<net::TcpStream>>;
+type Sockets = collections::HashMap<Name, Used>;
 
 /// Everything that a daemon's threads share.
 pub struct Shell {
@@ -360,12 +361,9 @@
 
     /// Makes a connection in use known, so that it can be broken.
     pub fn use_socket(&self, instance: &Name, request: event::RequestId, server: &wire::Server) {
-        if let Ok(socket) = server.channel.socket().try_clone() {
-            let mut used = lock(&self.used);
-            used.entry(instance.clone())
-                .or_default()
-                .insert(request, socket);
-        }
+        let mut used = lock(&self.used);
+        let sockets = used.entry(instance.clone()).or_default();
+        sockets.insert(request, server.control.clone());
     }
 
     /// The connection is no longer in use.
--- a/components/wire/src/channel.rs
+++ b/components/wire/src/channel.rs
@@ -61,6 +61,7 @@
 
 /// A stream with its buffers.
 pub struct Channel {
+    timeout: Option<time::Duration>,
     stream: Box<dyn Stream>,
     input: BytesMut,
     /// Bytes not yet sent.
@@ -71,6 +72,7 @@
     /// A channel over a connected stream.
     pub fn new(stream: Box<dyn Stream>) -> Self {
         Self {
+            timeout: None,
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -92,8 +94,15 @@
     }
 
     /// Limits the time of each read; none waits forever.
-    pub fn set_read_timeout(&self, limit: Option<time::Duration>) -> Result<(), failure::Failure> {
-        Ok(self.socket().set_read_timeout(limit)?)
+    pub fn set_read_timeout(
+        &mut self,
+        limit: Option<time::Duration>,
+    ) -> Result<(), failure::Failure> {
+        if self.timeout != limit {
+            self.socket().set_read_timeout(limit)?;
+            self.timeout = limit;
+        }
+        Ok(())
     }
 
     /// Whether input is buffered.
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -1,6 +1,6 @@
 //! A connection to a database.
 
-use std::{collections, io, net, time};
+use std::{collections, io, mem, net, sync, time};
 
 use bytes::{BufMut, Bytes, BytesMut};
 use pgwire::messages;
@@ -44,6 +44,8 @@
     pub channel: channel::Channel,
     /// Where it leads.
     pub endpoint: Endpoint,
+    /// The socket, for breaking the connection from outside.
+    pub control: sync::Arc<net::TcpStream>,
     /// Cancel key.
     pub process: i32,
     /// Cancel key.
@@ -68,16 +70,18 @@
     /// Connects and logs in.
     pub fn connect(endpoint: Endpoint, login: &Login) -> Result<Self, failure::Failure> {
         let socket = connect(&endpoint)?;
-        socket.set_read_timeout(Some(endpoint.timeout))?;
+        let control = sync::Arc::new(socket.try_clone()?);
         socket.set_write_timeout(Some(endpoint.timeout))?;
         let mut server = Self {
             channel: channel::Channel::new(Box::new(socket)),
             endpoint,
+            control,
             process: 0,
             secret: 0,
             prepared: collections::HashSet::new(),
             dirty: false,
         };
+        server.channel.set_read_timeout(Some(endpoint.timeout))?;
         server.send_startup(login);
         server.log_in(login)?;
         server.channel.set_read_timeout(None)?;
@@ -133,14 +137,14 @@
 
     /// Whether the connection is still open and silent.
     pub fn is_usable(&self) -> bool {
-        let socket = self.channel.socket();
-        if self.channel.has_input() || socket.set_nonblocking(true).is_err() {
+        if self.channel.has_input() {
             return false;
         }
-        let mut byte = [0];
-        let peeked = socket.peek(&mut byte);
-        let silent = matches!(&peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        socket.set_nonblocking(false).is_ok() && silent
+        let socket = socket2::SockRef::from(self.channel.socket());
+        let mut byte = [mem::MaybeUninit::uninit()];
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        let peeked = socket.recv_with_flags(&mut byte, flags);
+        matches!(&peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Whether the connection may serve another session.
