Keep connections where they were needed; refuse truly before a share is held

Change: demand rises at once and falls by one in 2 s.

Shares go to the peers that ask during a graceful stop.

--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -9,6 +9,7 @@
 mod overhead;
 mod report;
 mod run;
+mod slopes;
 mod worker;
 
 pub use deployment::Deployment;
@@ -16,3 +17,4 @@
 pub use load::{Load, Variant};
 pub use report::{Row, print_header, print_row};
 pub use run::{Setup, run};
+pub use slopes::{Point, Slope, measure};
--- a/components/bench/src/worker.rs
+++ b/components/bench/src/worker.rs
@@ -7,6 +7,10 @@
 
 /// Pause before a new connection after one was lost.
 const RECONNECT: time::Duration = time::Duration::from_millis(20);
+/// SQLSTATE of a daemon that stops.
+const STOPPING: &str = "57P01";
+/// Attempts of an operation that another daemon can run.
+const ATTEMPTS: usize = 3;
 /// Upper end of the histograms, in microseconds.
 const LONGEST_US: u64 = 60_000_000;
 /// Orders of the caller that a read picks from.
@@ -55,6 +59,17 @@
     pub reads: u64,
 }
 
+/// How an operation failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failed {
+    /// Not run, since the daemon stops; another one will do.
+    Elsewhere,
+    /// Not run.
+    NotRun,
+    /// Nobody can tell.
+    Unknown,
+}
+
 /// A connection with its statements.
 struct Connection {
     client: Client,
@@ -167,8 +182,8 @@
         self.seen.answered += 1;
     }
 
-    /// Notes a failure; true if the operation certainly did not run.
-    fn failed(&mut self, error: &postgres::Error) -> bool {
+    /// Notes a failure.
+    fn failed(&mut self, error: &postgres::Error) -> Failed {
         let detail = error.as_db_error().and_then(|db| db.detail());
         let not_run = detail.is_some_and(|detail| detail.starts_with("not run"));
         let state = error.code().map_or("closed", |code| code.code());
@@ -181,14 +196,31 @@
             self.client = None;
             self.url = (self.url + 1) % self.seen.task.urls.len();
         }
-        not_run
+        match (not_run, state) {
+            (true, STOPPING) => Failed::Elsewhere,
+            (true, _) => Failed::NotRun,
+            (false, _) => Failed::Unknown,
+        }
     }
 
     fn write(&mut self, id: i32, due: time::Instant) {
+        for _ in 0..ATTEMPTS {
+            match self.try_write(id, due) {
+                Some(Failed::Elsewhere) => {}
+                Some(Failed::NotRun) => return self.seen.not_run.push(id),
+                Some(Failed::Unknown) => {
+                    self.seen.unknown += 1;
+                    return;
+                }
+                None => return,
+            }
+        }
+        self.seen.not_run.push(id);
+    }
+
+    fn try_write(&mut self, id: i32, due: time::Instant) -> Option<Failed> {
         self.connect();
-        let Some(client) = &mut self.client else {
-            return;
-        };
+        let client = self.client.as_mut()?;
         let insert = client.insert.clone();
         match client.client.execute(&insert, &[&id, &"harvest loaf", &1]) {
             Ok(_) => {
@@ -198,34 +230,34 @@
                 if self.own.len() > OWN_ORDERS {
                     self.own.pop_front();
                 }
+                None
             }
-            Err(error) => {
-                if self.failed(&error) {
-                    self.seen.not_run.push(id);
-                } else {
-                    self.seen.unknown += 1;
-                }
-            }
+            Err(error) => Some(self.failed(&error)),
         }
     }
 
     fn read(&mut self, due: time::Instant) {
-        self.connect();
         let index = self.random.random_range(0..self.own.len());
         let id = self.own[index];
-        let Some(client) = &mut self.client else {
-            return;
-        };
+        for _ in 0..ATTEMPTS {
+            if self.try_read(id, due) != Some(Failed::Elsewhere) {
+                return;
+            }
+        }
+    }
+
+    fn try_read(&mut self, id: i32, due: time::Instant) -> Option<Failed> {
+        self.connect();
+        let client = self.client.as_mut()?;
         let select = client.select.clone();
         match client.client.query_opt(&select, &[&id]) {
             Ok(row) => {
                 self.done(due);
                 self.seen.reads += 1;
                 self.seen.stale += u64::from(row.is_none());
+                None
             }
-            Err(error) => {
-                self.failed(&error);
-            }
+            Err(error) => Some(self.failed(&error)),
         }
     }
 }
--- /dev/null
+++ b/components/config/tests/documents.rs
@@ -0,0 +1,107 @@
+//! Documents are checked, and every failure says where and what to do.
+
+use config::{Fleet, KeyDigest, Origin, Problem, read_note, read_settings};
+
+const SETTINGS: &str = include_str!("fixtures/settings.yaml");
+const NOTE: &str = include_str!("fixtures/note.yaml");
+
+fn origin() -> Origin {
+    Origin("file.yaml".into())
+}
+
+fn settings_failure(from: &str, to: &str) -> String {
+    assert!(SETTINGS.contains(from), "the fixture has no `{from}`");
+    let text = SETTINGS.replace(from, to);
+    let failure = read_settings(&text, &origin()).expect_err("it is refused");
+    failure.to_string()
+}
+
+fn note_failure(from: &str, to: &str) -> (u64, Problem) {
+    assert!(NOTE.contains(from), "the fixture has no `{from}`");
+    let text = NOTE.replace(from, to);
+    match read_note(&text, &origin()) {
+        Err(failure) => (failure.line, failure.problem),
+        Ok(note) => note.apply(&Fleet::default()).expect_err("it does not fit"),
+    }
+}
+
+#[test]
+fn fixtures_are_valid() {
+    let settings = read_settings(SETTINGS, &origin()).expect("valid settings");
+    assert_eq!(settings.limits.message, 65_536);
+    let note = read_note(NOTE, &origin()).expect("a valid note");
+    let fleet = note.apply(&Fleet::default()).expect("a fitting note");
+    let holder = fleet
+        .holder(&KeyDigest::of(b"foo"))
+        .expect("the key is held");
+    assert_eq!(&***holder.0, "tienda");
+    assert!(fleet.holder(&KeyDigest::of(b"bar")).is_none());
+}
+
+#[test]
+fn settings_failures_name_file_line_and_remedy() {
+    for (from, to, line, word) in [
+        (
+            "lease: 300ms",
+            "lease: 300",
+            11,
+            "write a number and a unit",
+        ),
+        (
+            "lease: 300ms",
+            "leases: 300ms",
+            11,
+            "correct the field or remove it",
+        ),
+        ("vm: vm-1", "vm: 'vm 1'", 1, "is not a name"),
+        ("listen: 127.0.0.1:6432", "listen: here", 5, "write IP:port"),
+        ("message: 65536", "message: 0", 13, "must be between"),
+    ] {
+        let text = settings_failure(from, to);
+        assert!(text.starts_with(&format!("file.yaml:{line}: ")), "{text}");
+        assert!(text.contains(word), "{text}");
+    }
+}
+
+#[test]
+fn note_failures_name_the_line() {
+    let name = |raw: &str| raw.to_string();
+    let (line, problem) = note_failure("group: orders,", "group: none,");
+    assert_eq!(
+        (line, problem),
+        (0, Problem::Dangling("group", name("none")))
+    );
+    let (_, problem) = note_failure("customers: [tienda]", "customers: [hotel]");
+    assert_eq!(problem, Problem::Dangling("customer", name("hotel")));
+    let (line, problem) = note_failure("customers: [tienda]", "open: true, customers: [tienda]");
+    assert_eq!((line, problem), (15, Problem::RouteAccess(name("orders"))));
+    let (line, problem) = note_failure("rate: 100", "rate: 0");
+    assert_eq!(
+        (line, problem),
+        (9, Problem::OutOfRange("rate", 1, 100_000_000))
+    );
+    let (line, problem) = note_failure("2c26b46b", "2c26");
+    assert_eq!((line, problem), (13, Problem::BadDigest));
+    let twice = "    - name: tienda\n      rate: 1\n      burst: 1\n    - name: tienda\n";
+    let (line, problem) = note_failure("    - name: tienda\n", twice);
+    assert_eq!(
+        (line, problem),
+        (11, Problem::Duplicate("customer", name("tienda")))
+    );
+}
+
+#[test]
+fn a_note_fits_once() {
+    let note = read_note(NOTE, &origin()).expect("a valid note");
+    let fleet = note.apply(&Fleet::default()).expect("a fitting note");
+    let (line, problem) = note.apply(&fleet).expect_err("everything exists");
+    assert_eq!(
+        (line, problem),
+        (4, Problem::Exists("group", "orders".into()))
+    );
+    let withdrawal = "note: second\nwithdrawn:\n  keys: [{customer: tienda, key: first}]\n";
+    let withdrawal = read_note(withdrawal, &origin()).expect("a valid note");
+    let fleet = withdrawal.apply(&fleet).expect("it fits");
+    assert!(!fleet.holds("tienda", &KeyDigest::of(b"foo")));
+    assert!(withdrawal.apply(&fleet).is_err(), "the key is gone");
+}
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -22,12 +22,14 @@
 const ASKS: usize = 4096;
 /// Period over which demand is averaged.
 const DEMAND_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
+/// Time for which a connection that is no longer needed is kept.
+const RELEASE_PERIOD: std_time::Duration = std_time::Duration::from_secs(2);
 /// Shortest time between two rounds of asks for a budget.
 const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(20);
 /// Time for a taker to confirm what it was given.
 const GIVE_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
 /// Rounds of asks without an answer after which none is expected.
-const BARREN_ROUNDS: u32 = 4;
+const BARREN_ROUNDS: u32 = 10;
 /// Time after which peers are worth asking again.
 const BARREN_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 /// Peers asked in one round.
@@ -156,6 +158,7 @@
     epoch: event::Epoch,
     grown: bool,
     joined: bool,
+    closing: bool,
     parts: collections::BTreeMap<Scarce, Part>,
     asks: collections::BTreeMap<u64, Scarce>,
     gives: collections::BTreeMap<u64, time::Time>,
@@ -173,6 +176,7 @@
             epoch: event::Epoch::default(),
             grown: false,
             joined: false,
+            closing: false,
             parts: collections::BTreeMap::new(),
             asks: collections::BTreeMap::new(),
             gives: collections::BTreeMap::new(),
@@ -211,6 +215,11 @@
         true
     }
 
+    /// Gives everything to those who ask from now on, and asks for nothing.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
     /// Runs that must confirm before shares may grow.
     pub fn holders(&self) -> impl Iterator<Item = &event::Member> {
         self.epoch.members.iter().chain(&self.epoch.former)
@@ -325,17 +334,25 @@
         self.grown && self.parts.values().all(|part| part.units > 0)
     }
 
-    /// Tells how many connections are needed now.
-    pub fn need(&mut self, instance: &Name, connections: u64) {
-        if let Some(part) = self.parts.get_mut(&Scarce::Connections(instance.clone())) {
+    /// Tells how many connections are needed now. Demand follows at once
+    /// upwards and slowly downwards, since moving a connection costs a new one.
+    pub fn need(&mut self, instance: &Name, connections: u64, now: time::Time) {
+        let Some(part) = self.parts.get_mut(&Scarce::Connections(instance.clone())) else {
+            return;
+        };
+        if connections >= part.demand {
             part.demand = connections;
+            part.measured = now;
+        } else if now.since(part.measured) >= RELEASE_PERIOD {
+            part.demand -= 1;
+            part.measured = now;
         }
     }
 
     /// Asks to send now, each to one of the peers in turn.
     pub fn asks(&mut self, peers: &[Name], now: time::Time) -> Vec<(Name, Ask)> {
         let mut out = Vec::new();
-        if peers.is_empty() || !self.grown {
+        if peers.is_empty() || !self.grown || self.closing {
             return out;
         }
         let members = self.epoch.members.len();
@@ -387,10 +404,12 @@
         let members = self.epoch.members.len();
         let part = self.parts.get_mut(&ask.scarce)?;
         part.fill(now);
-        let units = self
-            .policy
-            .spare(part.share(members), ask.units)
-            .min(part.units);
+        let units = if self.closing {
+            ask.units
+        } else {
+            self.policy.spare(part.share(members), ask.units)
+        };
+        let units = units.min(part.units);
         if units == 0 {
             return None;
         }
@@ -431,20 +450,6 @@
         part.level = (part.level + give.tokens).min(part.cap());
         true
     }
-
-    /// Everything held, handed to one peer on a graceful stop.
-    pub fn hand_over(&mut self, now: time::Time) -> Vec<(Scarce, u64, u64)> {
-        let mut out = Vec::new();
-        for (scarce, part) in &mut self.parts {
-            part.fill(now);
-            let units = part.units;
-            if units > 0 && matches!(scarce, Scarce::Rate(_)) {
-                let tokens = part.remove(units);
-                out.push((scarce.clone(), units, tokens));
-            }
-        }
-        out
-    }
 }
 
 /// Part of a member in the equal split; the first members take the remainder.
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -428,13 +428,6 @@
         }
     }
 
-    /// Hands the shares to a live peer when this daemon stops.
-    pub(crate) fn hand_over(&mut self) {
-        // The units return to the fleet with the next epoch, which leaves this
-        // VM out as soon as it is gone from the list.
-        self.budgets.hand_over(self.now);
-    }
-
     fn suspected(&mut self, from: &Name, suspicion: &message::Suspicion) {
         let Some(domain) = self.members.domain(from).cloned() else {
             return;
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -14,7 +14,7 @@
 /// Longest wait of a request for tokens that are certain to come.
 const TOKEN_WAIT: std_time::Duration = std_time::Duration::from_millis(250);
 /// Longest wait of a request for tokens that peers may give.
-const BORROW_WAIT: std_time::Duration = std_time::Duration::from_millis(80);
+const BORROW_WAIT: std_time::Duration = std_time::Duration::from_millis(200);
 /// Retry hint where a database is missing, in ms.
 const UNAVAILABLE_RETRY_MS: u32 = 500;
 /// Retry hint where a queue is full, in ms.
@@ -345,7 +345,8 @@
         let certain = wait.is_some_and(|wait| wait <= TOKEN_WAIT);
         let hopeful = self.budgets.is_hopeful(customer, self.now);
         if ahead >= self.setup.limits.queue || !(certain || hopeful) {
-            return self.refuse(&request, over_rate(wait));
+            let refusal = self.short_of_tokens(wait);
+            return self.refuse(&request, refusal);
         }
         let patience = if certain { TOKEN_WAIT } else { BORROW_WAIT };
         let lane = self.lanes.entry(customer.clone()).or_default();
@@ -356,6 +357,16 @@
         self.send_asks();
     }
 
+    /// Refusal of a request without a token. A VM that holds no part of the
+    /// budgets yet cannot tell that the customer is over its rate.
+    fn short_of_tokens(&self, wait: Option<std_time::Duration>) -> Refusal {
+        if self.budgets.is_usable() {
+            over_rate(wait)
+        } else {
+            Refusal::new(Cause::Unavailable, UNAVAILABLE_RETRY_MS)
+        }
+    }
+
     /// Lets in the requests for which tokens have come, in order.
     pub(crate) fn admit_lanes(&mut self) {
         let customers: Vec<_> = self.lanes.keys().cloned().collect();
@@ -381,7 +392,8 @@
                     Err(refusal) => self.refuse(&front.request, refusal),
                     Ok(_) if expired => {
                         let wait = self.budgets.wait(&customer, 1);
-                        self.refuse(&front.request, over_rate(wait));
+                        let refusal = self.short_of_tokens(wait);
+                        self.refuse(&front.request, refusal);
                     }
                     Ok(_) => self.enqueue(front.request),
                 }
@@ -814,7 +826,8 @@
             let writes = if primary { pool.writes.len() } else { 0 };
             let waiting = u64::try_from(writes + pool.reads.len() / count).unwrap_or(u64::MAX);
             let busy = self.busy.get(name).copied().unwrap_or(0);
-            self.budgets.need(name, (u64::from(busy) + waiting).max(1));
+            let needed = (u64::from(busy) + waiting).max(1);
+            self.budgets.need(name, needed, self.now);
         }
     }
 
@@ -957,6 +970,7 @@
             return;
         }
         self.stopping = true;
+        self.budgets.close();
         self.record(journal::Decision::Stopping {
             sessions: self.sessions.open.len(),
         });
@@ -981,7 +995,6 @@
             return;
         }
         self.stopped = true;
-        self.hand_over();
         self.out.push(event::Action::Stopped);
     }
 }
--- a/components/peer/src/codec.rs
+++ b/components/peer/src/codec.rs
@@ -26,6 +26,13 @@
     serde_json::to_vec(value).unwrap_or_default()
 }
 
+/// Bytes of a message on the wire, without the frame of the call.
+pub fn size(message: &message::Message) -> usize {
+    let mut builder = capnp::message::Builder::new_default();
+    write(message, builder.init_root());
+    capnp::serialize::compute_serialized_size_in_words(&builder) * 8
+}
+
 /// Writes a message.
 pub fn write(message: &message::Message, mut to: schema::message::Builder<'_>) {
     match message {
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -12,5 +12,6 @@
 #[rustfmt::skip]
 mod peer_capnp;
 
+pub use codec::size;
 pub use failure::Failure;
 pub use node::{Handle, Inbox, start};
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -80,7 +80,7 @@
 
 fn bench() -> Command {
     let loads = bench::Load::ALL.iter().map(ToString::to_string);
-    let loads = loads.chain(["all".to_string()]);
+    let loads = loads.chain(["all".to_string(), "slopes".to_string()]);
     let seconds = Arg::new("seconds")
         .long("seconds")
         .value_name("N")
@@ -102,7 +102,7 @@
                 .value_parser(builder::PossibleValuesParser::new(
                     loads.collect::<Vec<_>>(),
                 ))
-                .help("Load to run"),
+                .help("Load to run; `slopes` measures the costs of the capacity page"),
         )
         .arg(
             Arg::new("deployment")
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -24,6 +24,9 @@
     if matches.get_flag("verbose") {
         telemetry::init("info").map_err(failed)?;
     }
+    if wanted == "slopes" {
+        return slopes();
+    }
     ::bench::print_header();
     for load in ::bench::Load::ALL {
         if wanted != "all" && wanted != load.to_string() {
@@ -48,6 +51,25 @@
     Ok(())
 }
 
+/// Prints the slopes with the points of each fit.
+fn slopes() -> cmd::Outcome {
+    for slope in ::bench::measure().map_err(failed)? {
+        let points: Vec<_> = slope
+            .points
+            .iter()
+            .map(|point| format!("{}: {:.1}", point.count, point.cost))
+            .collect();
+        println!(
+            "{:<36} {:>10.3} each, base {:>9.1}  ({})",
+            slope.name,
+            slope.each,
+            slope.base,
+            points.join(", ")
+        );
+    }
+    Ok(())
+}
+
 fn variants(load: ::bench::Load) -> Vec<::bench::Variant> {
     if load == ::bench::Load::Overhead {
         return vec![::bench::Variant::Product];
