--- a/components/bench/src/report.rs
+++ b/components/bench/src/report.rs
@@ -81,7 +81,9 @@
 }
 
 impl Row {
-    /// Fills in what the sessions saw; `over` is the customer over its rate.
+    /// Fills in what the sessions saw; `over` is the customer
+    /// that goes over its rate or loses its key, which no figure of the others
+    /// includes.
     pub fn collect(
         &mut self,
         seen: &[worker::Seen],
--- a/components/bench/src/run.rs
+++ b/components/bench/src/run.rs
@@ -92,9 +92,10 @@
     Ok(row)
 }
 
-/// Customer that goes over its rate, the first small one.
+/// Customer that goes over its rate or loses its key: the last one.
 fn over(deployment: &deployment::Deployment, load: load::Load) -> Option<usize> {
-    (load == load::Load::OneAtFive).then_some(deployment.customers.len() - 1)
+    let singled = matches!(load, load::Load::OneAtFive | load::Load::KeyWithdrawn);
+    singled.then_some(deployment.customers.len() - 1)
 }
 
 /// Links from clients to VMs, each with the delay to clients.
