Charge a request once

Found by reading the change again: a token was meant to be taken only at the grant, but arrivals still took one too, as the edit had missed that line. Most requests paid twice, so a customer got half of its burst on the fast path.

--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -125,7 +125,7 @@
             .lanes
             .get(customer)
             .map_or(0, collections::VecDeque::len);
-        if ahead == 0 && self.budgets.take(customer, self.now) {
+        if ahead == 0 && self.budgets.has(customer, self.now) {
             return self.enqueue(request);
         }
         self.budgets.press(customer);
@@ -169,15 +169,15 @@
                     self.lanes.remove(&customer);
                     break;
                 };
-                let permitted = self.check(&front.request).is_ok();
+                let checked = self.check(&front.request);
                 let expired = front.deadline <= self.now;
-                if permitted && !expired && !self.budgets.has(&customer, self.now) {
+                if checked.is_ok() && !expired && !self.budgets.has(&customer, self.now) {
                     break;
                 }
                 if let Some(lane) = self.lanes.get_mut(&customer) {
                     lane.pop_front();
                 }
-                match self.check(&front.request) {
+                match checked {
                     Err(refusal) => self.refuse(&front.request, refusal),
                     Ok(_) if expired => {
                         let wait = self.budgets.wait(&customer, 1);
