--- a/components/bench/src/load.rs
+++ b/components/bench/src/load.rs
@@ -77,6 +77,7 @@
                 reads: name("primary"),
                 admission: name("fifo"),
                 budget: name("static"),
+                ..config::Policy::default()
             },
             Variant::Product | Variant::Direct => config::Policy::default(),
         }
--- a/components/bench/src/slopes.rs
+++ b/components/bench/src/slopes.rs
@@ -154,6 +154,8 @@
         vm: name("vm-0"),
         domain: name("d0"),
         region: name("home"),
+        domains: std::collections::BTreeMap::new(),
+        peer: String::new(),
         incarnation: 1,
         timing: plan.timing,
         limits: plan.limits,
@@ -199,6 +201,7 @@
         epoch: 0,
         listed: true,
         heard: (1..vms).map(heard).collect(),
+        positions: Vec::new(),
     }
 }
 
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -87,6 +87,11 @@
     peer: Span<String>,
     admin: Span<String>,
     platform: String,
+    orders: Option<String>,
+    dialect: Option<Span<String>>,
+    #[serde(default)]
+    domains: collections::BTreeMap<String, Span<String>>,
+    #[serde(default)]
     credentials: RawCredentials,
     tls: Option<RawTls>,
     #[serde(default)]
@@ -98,7 +103,7 @@
     level: Option<Span<String>>,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawCredentials {
     user: String,
@@ -133,6 +138,8 @@
     refusal: Option<Span<String>>,
     platform: Option<Span<String>>,
     stop: Option<Span<String>>,
+    drain: Option<Span<String>>,
+    tick: Option<Span<String>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -141,6 +148,7 @@
     reads: Option<Span<String>>,
     admission: Option<Span<String>>,
     budget: Option<Span<String>>,
+    arbiter: Option<Span<String>>,
 }
 
 const fn ms(n: u64) -> time::Duration {
@@ -179,6 +187,8 @@
             refusal: or_duration(raw.refusal.as_ref(), ms(2_000))?,
             platform: or_duration(raw.platform.as_ref(), ms(1_000))?,
             stop: or_duration(raw.stop.as_ref(), ms(30_000))?,
+            drain: or_duration(raw.drain.as_ref(), ms(5_000))?,
+            tick: or_duration(raw.tick.as_ref(), ms(2))?,
         })
     }
 }
@@ -194,15 +204,27 @@
             reads: pick(&raw.reads, defaults.reads)?,
             admission: pick(&raw.admission, defaults.admission)?,
             budget: pick(&raw.budget, defaults.budget)?,
+            arbiter: pick(&raw.arbiter, defaults.arbiter)?,
         })
     }
 }
 
+fn domains(
+    raw: &collections::BTreeMap<String, Span<String>>,
+) -> Located<collections::BTreeMap<name::Name, name::Name>> {
+    let checked = raw.iter().map(|(domain, region)| {
+        let domain = at(region, name::Name::try_from(domain.as_str()))?;
+        Ok((domain, checked_name(region)?))
+    });
+    checked.collect()
+}
+
 impl TryFrom<RawSettings> for settings::Settings {
     type Error = (u64, failure::Problem);
 
     fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
-        let info = name::Name::try_from("info").map_err(|problem| (0, problem))?;
+        let plain = |text| name::Name::try_from(text).map_err(|problem| (0, problem));
+        let (info, postgres) = (plain("info")?, plain("postgres")?);
         Ok(Self {
             vm: checked_name(&raw.vm)?,
             address: address(&raw.address)?,
@@ -211,7 +233,10 @@
             listen: address(&raw.listen)?,
             peer: address(&raw.peer)?,
             admin: address(&raw.admin)?,
+            domains: domains(&raw.domains)?,
             platform: raw.platform,
+            orders: raw.orders,
+            dialect: raw.dialect.as_ref().map_or(Ok(postgres), checked_name)?,
             credentials: settings::Credentials {
                 user: raw.credentials.user,
                 password: raw.credentials.password,
@@ -378,11 +403,11 @@
         raw.customers.iter().map(checked_name).collect();
     let age = or_duration(raw.age.as_ref(), time::Duration::ZERO)?;
     let value = fleet::Route {
-        group: checked_name(&raw.group)?,
         database: raw.database.clone(),
         customers: customers?,
         open: raw.open,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        ..fleet::Route::new(checked_name(&raw.group)?)
     };
     Ok(note::Entry::Route(name, value))
 }
--- a/components/config/src/fleet.rs
+++ b/components/config/src/fleet.rs
@@ -57,6 +57,19 @@
     pub keys: collections::BTreeMap<name::Name, key::KeyDigest>,
 }
 
+/// What reads on a route must see.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reads {
+    /// The session's own writes, or data of the stated age.
+    #[default]
+    OwnOrAge,
+    /// The session's own writes, and all that is older than the stated age.
+    OwnAndAge,
+    /// Everything; they run at the primary.
+    Latest,
+}
+
 /// What a caller connects to: the database name of its connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -71,6 +84,39 @@
     pub open: bool,
     /// Stated age that reads accept, in ms; 0 for reads of one's own writes.
     pub age_ms: u64,
+    /// What reads must see.
+    #[serde(default)]
+    pub reads: Reads,
+    /// Longest time for one statement at an instance, in ms; 0 for no limit.
+    #[serde(default)]
+    pub statement_ms: u64,
+    /// Time in which callers want a request answered, in ms; 0 if not stated.
+    #[serde(default)]
+    pub target_ms: u64,
+    /// Rank under load; 0 is the highest.
+    #[serde(default)]
+    pub priority: u32,
+    /// Times that a request may be sent to instances; 0 if not stated.
+    #[serde(default)]
+    pub attempts: u32,
+}
+
+impl Route {
+    /// A closed route to a group, without limits.
+    pub fn new(group: name::Name) -> Self {
+        Self {
+            group,
+            database: String::new(),
+            customers: collections::BTreeSet::new(),
+            open: false,
+            age_ms: 0,
+            reads: Reads::default(),
+            statement_ms: 0,
+            target_ms: 0,
+            priority: 0,
+            attempts: 0,
+        }
+    }
 }
 
 /// All customers, groups and routes.
@@ -83,6 +129,9 @@
     pub groups: collections::BTreeMap<name::Name, Group>,
     /// Routes by name.
     pub routes: collections::BTreeMap<name::Name, Route>,
+    /// Time that a transaction may stay idle, in ms; 0 for the daemons' own limit.
+    #[serde(default)]
+    pub idle_ms: u64,
 }
 
 impl Fleet {
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one daemon.
 
-use std::{net, path, time};
+use std::{collections, net, path, time};
 
 use crate::name;
 
@@ -56,6 +56,10 @@
     pub platform: time::Duration,
     /// Longest graceful stop.
     pub stop: time::Duration,
+    /// Time for which a leaving instance may still get new transactions.
+    pub drain: time::Duration,
+    /// Period of looks at what is due.
+    pub tick: time::Duration,
 }
 
 /// Names of the plug-ins that decide.
@@ -67,6 +71,8 @@
     pub admission: name::Name,
     /// Movement of shares between VMs.
     pub budget: name::Name,
+    /// Who says which instance of a group leads.
+    pub arbiter: name::Name,
 }
 
 impl Default for Policy {
@@ -76,6 +82,7 @@
             reads: name("replica"),
             admission: name("fair"),
             budget: name("borrow"),
+            arbiter: name("instances"),
         }
     }
 }
@@ -97,8 +104,14 @@
     pub peer: net::SocketAddr,
     /// Where operators and probes connect.
     pub admin: net::SocketAddr,
+    /// Region of each failure domain, where the platform tells it.
+    pub domains: collections::BTreeMap<name::Name, name::Name>,
     /// Base URL of the platform's service.
     pub platform: String,
+    /// Base URL of the service that takes orders for promotions, if there is one.
+    pub orders: Option<String>,
+    /// Protocol of callers and databases.
+    pub dialect: name::Name,
     /// Login at the databases.
     pub credentials: Credentials,
     /// TLS for callers, if offered.
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -6,12 +6,15 @@
     thread, time,
 };
 
-use kernel::event;
+use kernel::{event, view};
 
-use crate::{admin, clock, failure, session, shell, store, tls};
+use crate::{admin, clock, dialogue, failure, session, shell, table, tls};
 
-/// Period of ticks.
-const TICK: time::Duration = time::Duration::from_millis(2);
+/// Part of a view's validity for which a watch may wait, so that a view is
+/// proved again well before it ends.
+const WATCH_PARTS: u32 = 4;
+/// Time for the last calls to the platform at a stop.
+const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(500);
 /// Stack of a session's thread, in bytes.
 const STACK_SIZE: usize = 128 * 1024;
 /// Period of looks at the sessions that are left at a stop.
@@ -66,25 +69,35 @@
         listeners: Listeners,
     ) -> Result<Self, failure::Failure> {
         let tls = settings.tls.as_ref().map(tls::load).transpose()?;
-        let service = platform::open(&settings.platform).map_err(failure::Failure::Platform)?;
-        let service: sync::Arc<dyn platform::Service> = service.into();
+        let service = store::open(&settings.platform).map_err(failure::Failure::Platform)?;
+        let orders = settings
+            .orders
+            .as_deref()
+            .map(store::open_orders)
+            .transpose();
+        let services = table::Services {
+            store: service.into(),
+            orders: orders.map_err(failure::Failure::Platform)?.map(Into::into),
+        };
+        let dialect = dialect(&settings.dialect)?;
         let clock = clock::Clock::start();
-        let kernel = kernel::Daemon::new(setup(&settings), clock.now());
+        let unknown = |error: io::Error| failure::Failure::Thread(error.kind());
+        let peer = listeners.peers.local_addr().map_err(unknown)?;
+        let kernel = kernel::Daemon::new(setup(&settings, peer), clock.now());
         let kernel = kernel.map_err(failure::Failure::Policy)?;
         let (calls, queue) = mpsc::channel();
-        let shell = shell::Shell::new(settings, clock, kernel, calls);
-        let unknown = |error: io::Error| failure::Failure::Thread(error.kind());
+        let shell = shell::Shell::new(settings, clock, kernel, calls, dialect);
         let running = Self {
             listen: listeners.callers.local_addr().map_err(unknown)?,
             admin: listeners.admin.local_addr().map_err(unknown)?,
-            peer: listeners.peers.local_addr().map_err(unknown)?,
+            peer,
             server: admin::start(&shell, listeners.admin),
             closed: sync::Arc::default(),
             shell,
         };
         running.start_peers(listeners.peers)?;
-        store::start(&running.shell, service.clone(), queue);
-        store::watch(&running.shell, service);
+        table::start(&running.shell, services.clone(), queue);
+        running.follow(&services.store);
         running.start_ticks();
         running.accept(listeners.callers, tls);
         Ok(running)
@@ -104,13 +117,30 @@
         Ok(())
     }
 
+    /// Follows the platform's store, or lists its VMs where it cannot be followed.
+    fn follow(&self, service: &sync::Arc<dyn store::Service>) {
+        let timing = &self.shell.settings.timing;
+        if &**self.shell.settings.policy.arbiter != "store" {
+            return table::list(&self.shell, service.clone());
+        }
+        let waits = [
+            (view::Part::Rows, timing.lease / WATCH_PARTS),
+            (view::Part::Configuration, timing.refusal / WATCH_PARTS),
+            (view::Part::Instances, timing.refusal / WATCH_PARTS),
+        ];
+        for (part, wait) in waits {
+            table::watch(&self.shell, service.as_ref(), part, wait);
+        }
+    }
+
     fn start_ticks(&self) {
         let weak = sync::Arc::downgrade(&self.shell);
+        let period = self.shell.settings.timing.tick;
         thread::spawn(move || {
             while let Some(shell) = weak.upgrade().filter(|shell| !shell.is_halted()) {
                 shell.drive(event::Event::Tick);
                 drop(shell);
-                thread::sleep(TICK);
+                thread::sleep(period);
             }
         });
     }
@@ -125,7 +155,11 @@
                 }
                 let (shell, tls) = (shell.clone(), tls.clone());
                 let serve = move || {
-                    if let Err(failure) = session::serve(&shell, socket, tls.as_ref()) {
+                    if let Some(links) = shell.links() {
+                        if let Err(failure) = dialogue::serve(&shell, links, socket) {
+                            log::debug!("session ended: {failure}");
+                        }
+                    } else if let Err(failure) = session::serve(&shell, socket, tls.as_ref()) {
                         log::debug!("session ended: {failure}");
                     }
                 };
@@ -172,11 +206,19 @@
         let limit = self.shell.settings.timing.stop;
         let deadline = time::Instant::now() + limit;
         self.shell.drive(event::Event::Stop);
-        self.shell.wait_stopped(limit);
+        // What is still open after half of the time is ended in the other half.
+        self.shell.wait_stopped(limit / 2);
+        self.wait_sessions(deadline - limit / 2);
+        self.shell.end_sessions();
+        self.wait_sessions(deadline);
+        self.shell.flush_calls(FLUSH_LIMIT);
+        self.halt();
+    }
+
+    fn wait_sessions(&self, deadline: time::Instant) {
         while self.shell.count_sessions() > 0 && time::Instant::now() < deadline {
             thread::sleep(STOP_PERIOD);
         }
-        self.halt();
     }
 
     /// Dies: every connection breaks, nothing is finished or handed over.
@@ -201,13 +243,26 @@
     }
 }
 
-fn setup(settings: &config::Settings) -> kernel::Setup {
+/// Dialect of the settings; none for the product's own protocol.
+fn dialect(name: &config::Name) -> Result<Option<&'static dialect::Dialect>, failure::Failure> {
+    if &***name == "postgres" {
+        return Ok(None);
+    }
+    let found = dialect::find(name);
+    found
+        .map(Some)
+        .ok_or_else(|| failure::Failure::Dialect(name.clone()))
+}
+
+fn setup(settings: &config::Settings, peer: net::SocketAddr) -> kernel::Setup {
     let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
     let incarnation = since.map_or(1, |since| u64::try_from(since.as_millis()).unwrap_or(1));
     kernel::Setup {
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
         region: settings.region.clone(),
+        domains: settings.domains.clone(),
+        peer: peer.to_string(),
         // Milliseconds fit into the upper 40 bits of a nonce until 2039.
         incarnation: incarnation & ((1 << 40) - 1),
         timing: settings.timing.clone(),
--- /dev/null
+++ b/components/daemon/src/dialogue.rs
@@ -0,0 +1,722 @@
+//! The session of a caller that speaks a dialect: its values and prepared
+//! statements, its transactions, retries and acknowledgements.
+//!
+//! Values and prepared names belong to the session and follow it to whatever
+//! connection it gets. A transaction takes its connection with its first
+//! statement, so that callers who pause after BEGIN hold none.
+
+use std::{collections, net, sync, thread, time as std_time};
+
+use config::Name;
+use errors::{Cause, Refusal};
+use kernel::{event, position};
+
+use crate::{links, shell};
+
+/// Pause before a statement that did not run is tried again.
+const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(15);
+/// Retry hint where no database could be reached, in ms.
+const UNREACHABLE_RETRY_MS: u32 = 500;
+/// Limit of a statement on a route that states none.
+const STATEMENT_LIMIT: std_time::Duration = std_time::Duration::from_secs(5);
+/// Times that a read is sent to instances on a route that states none.
+const READ_ATTEMPTS: u32 = 2;
+
+/// A connection held for a statement or a transaction.
+struct Held {
+    link: Box<dyn dialect::Link>,
+    request: event::RequestId,
+    instance: Name,
+    primary: bool,
+    floor: Option<position::Floor>,
+}
+
+/// A transaction of the caller.
+#[derive(Default)]
+struct Transaction {
+    reads: bool,
+    held: Option<Held>,
+    wrote: bool,
+    /// It has failed and can only end.
+    failed: bool,
+    /// Why it failed, until the caller is told.
+    untold: Option<Refusal>,
+}
+
+/// What a call needs of an instance.
+struct Need<'a> {
+    call: &'a dialect::Call,
+    run: dialect::Run<'a>,
+    writes: bool,
+}
+
+/// A session after its start.
+struct Dialogue {
+    shell: sync::Arc<shell::Shell>,
+    caller: Box<dyn dialect::Caller>,
+    handle: sync::Arc<shell::Handle>,
+    id: event::SessionId,
+    count: u64,
+    route: String,
+    customer: Option<Name>,
+    values: dialect::Values,
+    prepared: collections::HashMap<String, dialect::Shape>,
+    transaction: Option<Transaction>,
+}
+
+/// Accepts a caller and serves it to the end.
+pub fn serve(
+    shell: &sync::Arc<shell::Shell>,
+    links: &links::Links,
+    socket: net::TcpStream,
+) -> Result<(), dialect::Failure> {
+    let limits = &shell.settings.limits;
+    let control = socket.try_clone()?;
+    let mut caller = (links.dialect().accept)(socket, limits.message)?;
+    let startup = match caller.greet(limits.startup) {
+        Err(dialect::Failure::Malformed) => {
+            return caller.reject(&Refusal::new(Cause::Protocol, 0));
+        }
+        greeted => greeted?,
+    };
+    if shell.count_sessions() >= limits.sessions {
+        return caller.reject(&Refusal::new(Cause::NoCapacity, 1000));
+    }
+    let handle = sync::Arc::new(shell::Handle::new(Some(control), 0));
+    let id = shell.open(handle.clone());
+    shell.drive(event::Event::Opened(event::Opening {
+        session: id,
+        digest: startup.key.as_deref().map(config::KeyDigest::of),
+        route: startup.database.clone(),
+        token: None,
+    }));
+    let result = match handle.wait() {
+        shell::Reply::Welcome(welcome) => {
+            let mut dialogue = Dialogue {
+                shell: shell.clone(),
+                caller,
+                handle,
+                id,
+                count: 0,
+                route: startup.database,
+                customer: welcome.customer,
+                values: dialect::Values::new(),
+                prepared: collections::HashMap::new(),
+                transaction: None,
+            };
+            let result = dialogue.run(links);
+            dialogue.abandon(links);
+            result
+        }
+        shell::Reply::Refuse(refusal) => {
+            log::info!(target: "session", route = startup.database, refusal:%; "turned away");
+            caller.reject(&refusal)
+        }
+        _ => Ok(()),
+    };
+    shell.close(id);
+    result
+}
+
+impl Dialogue {
+    fn run(&mut self, links: &links::Links) -> Result<(), dialect::Failure> {
+        self.caller.welcome()?;
+        loop {
+            if self.handle.rest(self.transaction.is_none()).is_some() {
+                return Ok(());
+            }
+            match self.caller.read(self.idle_limit()) {
+                Ok(dialect::Input::End) | Err(dialect::Failure::Closed) => return Ok(()),
+                Ok(dialect::Input::Unknown) => {
+                    self.refuse(None, &Refusal::new(Cause::Protocol, 0))?;
+                }
+                Ok(dialect::Input::Call(call)) => {
+                    if self.handle.rest(false).is_some() {
+                        return Ok(());
+                    }
+                    self.answer(links, &call)?;
+                }
+                Err(dialect::Failure::Idle) => self.expire(links),
+                Err(dialect::Failure::Malformed) => {
+                    self.refuse(None, &Refusal::new(Cause::Protocol, 0))?;
+                    return Err(dialect::Failure::Malformed);
+                }
+                Err(failure) => return Err(failure),
+            }
+        }
+    }
+
+    /// Time for which the caller may pause in a transaction.
+    fn idle_limit(&self) -> Option<std_time::Duration> {
+        let open = self.transaction.as_ref().is_some_and(|t| !t.failed);
+        let stated = self.shell.fleet().idle_ms;
+        let limit = match stated {
+            0 => self.shell.settings.limits.idle,
+            ms => std_time::Duration::from_millis(ms),
+        };
+        open.then_some(limit)
+    }
+
+    /// Rolls back a transaction whose caller pauses for too long.
+    fn expire(&mut self, links: &links::Links) {
+        let Some(transaction) = &mut self.transaction else {
+            return;
+        };
+        transaction.failed = true;
+        transaction.untold = Some(Refusal::new(Cause::IdleTransaction, 0));
+        if let Some(held) = transaction.held.take() {
+            self.roll_back(links, held);
+        }
+    }
+
+    fn state(&self) -> dialect::State {
+        match &self.transaction {
+            None => dialect::State::Idle,
+            Some(transaction) if transaction.failed => dialect::State::Failed,
+            Some(_) => dialect::State::Open,
+        }
+    }
+
+    /// Answers with a refusal; one of a request is logged and counted.
+    fn refuse(
+        &mut self,
+        call: Option<&dialect::Call>,
+        refusal: &Refusal,
+    ) -> Result<(), dialect::Failure> {
+        if let Some(call) = call {
+            log::info!(target: "request", id = call.id, route = self.route,
+                customer = self.customer(), cause:? = refusal.cause, ran:% = refusal.ran,
+                retry_ms = refusal.retry_ms; "refused");
+        }
+        self.caller.refuse(refusal, self.state())
+    }
+
+    fn customer(&self) -> &str {
+        self.customer.as_ref().map_or("-", |customer| customer)
+    }
+
+    fn note(&self, outcome: telemetry::Outcome, took: std_time::Duration) {
+        let metrics = &self.shell.metrics;
+        metrics.finish(self.customer.as_ref(), &self.route, outcome, took);
+    }
+
+    fn answer(
+        &mut self,
+        links: &links::Links,
+        call: &dialect::Call,
+    ) -> Result<(), dialect::Failure> {
+        if let Some(transaction) = self.transaction.as_mut().filter(|t| t.failed) {
+            return match (&call.statement, transaction.untold.take()) {
+                (dialect::Statement::Rollback, _) => self.end_failed(links, None),
+                (dialect::Statement::Commit, untold) => {
+                    let lost = Refusal::new(Cause::TransactionLost, 0);
+                    self.end_failed(links, Some((call, untold.unwrap_or(lost))))
+                }
+                (_, Some(refusal)) => self.refuse(Some(call), &refusal),
+                (_, None) => self.refuse(None, &Refusal::new(Cause::Protocol, 0)),
+            };
+        }
+        let (run, writes) = match &call.statement {
+            dialect::Statement::Begin { reads } => return self.begin(*reads),
+            dialect::Statement::Set { name, value } => {
+                self.values.insert(name.clone(), value.clone());
+                return self.caller.complete(self.state());
+            }
+            dialect::Statement::Prepare { name, shape } => {
+                self.prepared.insert(name.clone(), shape.clone());
+                return self.caller.complete(self.state());
+            }
+            dialect::Statement::Deallocate { name } => {
+                self.prepared.remove(name);
+                return self.caller.complete(self.state());
+            }
+            dialect::Statement::Rollback => return self.rollback(links),
+            dialect::Statement::Commit if self.transaction.is_none() => {
+                return self.refuse(None, &Refusal::new(Cause::Protocol, 0));
+            }
+            dialect::Statement::Commit => return self.commit(links, call),
+            dialect::Statement::Read => (dialect::Run::Plain(call), false),
+            dialect::Statement::Write => (dialect::Run::Plain(call), true),
+            dialect::Statement::Execute { name, arguments } => {
+                let Some(shape) = self.prepared.get(name).cloned() else {
+                    return self.refuse(Some(call), &Refusal::new(Cause::Protocol, 0));
+                };
+                let run = dialect::Run::Prepared {
+                    call,
+                    shape: &shape,
+                    arguments,
+                };
+                let need = Need {
+                    call,
+                    writes: shape.writes,
+                    run,
+                };
+                return self.execute(links, &need);
+            }
+        };
+        self.execute(links, &Need { call, run, writes })
+    }
+
+    /// Ends a transaction that has failed.
+    fn end_failed(
+        &mut self,
+        links: &links::Links,
+        refused: Option<(&dialect::Call, Refusal)>,
+    ) -> Result<(), dialect::Failure> {
+        let held = self
+            .transaction
+            .take()
+            .and_then(|transaction| transaction.held);
+        let answered = match refused {
+            Some((call, refusal)) => self.refuse(Some(call), &refusal),
+            None => self.caller.complete(dialect::State::Idle),
+        };
+        if let Some(held) = held {
+            self.roll_back(links, held);
+        }
+        answered
+    }
+
+    fn begin(&mut self, reads: bool) -> Result<(), dialect::Failure> {
+        if self.transaction.is_some() {
+            return self.refuse(None, &Refusal::new(Cause::Protocol, 0));
+        }
+        self.transaction = Some(Transaction {
+            reads,
+            ..Transaction::default()
+        });
+        self.caller.complete(dialect::State::Open)
+    }
+
+    fn rollback(&mut self, links: &links::Links) -> Result<(), dialect::Failure> {
+        self.end_failed(links, None)
+    }
+
+    fn execute(&mut self, links: &links::Links, need: &Need<'_>) -> Result<(), dialect::Failure> {
+        if self.transaction.is_some() {
+            self.run_inside(links, need)
+        } else {
+            self.run_alone(links, need)
+        }
+    }
+
+    /// Limits of a statement on this route: its time, and attempts of a read.
+    fn limits(&self) -> (std_time::Duration, u32) {
+        let fleet = self.shell.fleet();
+        let route = fleet.routes.get(self.route.as_str());
+        let limit = route.map_or(0, |route| route.statement_ms);
+        let attempts = route.map_or(0, |route| route.attempts);
+        let limit = match limit {
+            0 => STATEMENT_LIMIT,
+            ms => std_time::Duration::from_millis(ms),
+        };
+        (
+            limit,
+            if attempts == 0 {
+                READ_ATTEMPTS
+            } else {
+                attempts
+            },
+        )
+    }
+
+    /// Runs a statement outside of a transaction.
+    fn run_alone(&mut self, links: &links::Links, need: &Need<'_>) -> Result<(), dialect::Failure> {
+        let begun = std_time::Instant::now();
+        let deadline = begun + self.shell.settings.limits.wait;
+        let (limit, attempts) = self.limits();
+        let access = if need.writes {
+            event::Access::Write
+        } else {
+            event::Access::Read
+        };
+        let mut lost = 0;
+        let mut retry = false;
+        let refusal = loop {
+            let mut held = match self.obtain(links, access, retry, deadline) {
+                Ok(held) => held,
+                Err(refusal) => break refusal,
+            };
+            retry = true;
+            let sent = self.shell.clock.now();
+            match held.link.run(&need.run, held.floor, limit) {
+                Ok(reply) => {
+                    self.observe(&held, sent, &reply);
+                    match self.retry_outcome(&held, &reply) {
+                        Some(outcome) => {
+                            self.give_back(links, held, outcome);
+                            pause(outcome);
+                        }
+                        None => return self.finish(links, need, held, &reply, begun),
+                    }
+                }
+                Err(dialect::Lost::Unsent | dialect::Lost::Rejected) => {
+                    self.discard(links, held, event::Outcome::Unsent);
+                }
+                Err(failure) => {
+                    log::info!(target: "request", id = need.call.id, instance = &**held.instance,
+                        failure:%; "lost");
+                    self.discard(links, held, event::Outcome::Broken);
+                    lost += 1;
+                    if need.writes {
+                        self.note(telemetry::Outcome::Unknown, begun.elapsed());
+                        break Refusal::new(Cause::OutcomeUnknown, 0);
+                    }
+                    if lost >= attempts {
+                        break Refusal::new(Cause::ReadFailed, 0);
+                    }
+                }
+            }
+            if std_time::Instant::now() >= deadline {
+                break Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS);
+            }
+        };
+        self.note(telemetry::Outcome::Refused, begun.elapsed());
+        self.refuse(Some(need.call), &refusal)
+    }
+
+    /// How the connection is given back if the statement has not run and is to
+    /// be tried elsewhere.
+    fn retry_outcome(&self, held: &Held, reply: &dialect::Reply) -> Option<event::Outcome> {
+        let dialect::End::Refused(reason) = reply.end else {
+            return None;
+        };
+        match (reason, held.floor) {
+            (dialect::Reason::Behind, Some(floor)) => Some(event::Outcome::Behind(floor)),
+            (dialect::Reason::Behind | dialect::Reason::StatementUnknown, _) => {
+                Some(event::Outcome::Clean)
+            }
+            (dialect::Reason::Busy, _) => Some(event::Outcome::Busy),
+            (dialect::Reason::ReadOnly, _) => Some(event::Outcome::ReadOnly),
+            _ => None,
+        }
+    }
+
+    /// Passes on an answer outside of a transaction.
+    fn finish(
+        &mut self,
+        links: &links::Links,
+        need: &Need<'_>,
+        held: Held,
+        reply: &dialect::Reply,
+        begun: std_time::Instant,
+    ) -> Result<(), dialect::Failure> {
+        let committed = need.writes && reply.end == dialect::End::Complete;
+        let outcome = if held.primary {
+            telemetry::Outcome::Primary
+        } else {
+            telemetry::Outcome::Replica
+        };
+        if committed {
+            return self.acknowledge(links, need.call, held, reply, begun);
+        }
+        let passed = self.caller.pass(reply);
+        self.give_back(links, held, event::Outcome::Clean);
+        self.note(outcome, begun.elapsed());
+        passed
+    }
+
+    /// Passes on the success of a commit once it may be acknowledged.
+    fn acknowledge(
+        &mut self,
+        links: &links::Links,
+        call: &dialect::Call,
+        held: Held,
+        reply: &dialect::Reply,
+        begun: std_time::Instant,
+    ) -> Result<(), dialect::Failure> {
+        let status = reply.applied.map(|applied| position::Status {
+            term: applied.term,
+            promised: applied.term,
+            role: position::Role::Primary,
+            received: applied.lsn,
+            replayed: applied.lsn,
+            start: position::Lsn::default(),
+        });
+        self.give_back(links, held, event::Outcome::Committed(status));
+        match self.handle.wait() {
+            shell::Reply::Acknowledge(_, until) if self.shell.clock.now() < until => {
+                self.note(telemetry::Outcome::Primary, begun.elapsed());
+                self.caller.pass(reply)
+            }
+            _ => {
+                self.note(telemetry::Outcome::Unknown, begun.elapsed());
+                self.refuse(Some(call), &Refusal::new(Cause::OutcomeUnknown, 0))
+            }
+        }
+    }
+
+    /// Runs a statement of a transaction, which begins with the first one.
+    fn run_inside(
+        &mut self,
+        links: &links::Links,
+        need: &Need<'_>,
+    ) -> Result<(), dialect::Failure> {
+        if let Err(refusal) = self.ensure_begun(links) {
+            return self.fail(Some(need.call), &refusal);
+        }
+        let (limit, _) = self.limits();
+        let Some(mut held) = self.transaction.as_mut().and_then(|t| t.held.take()) else {
+            return self.fail(Some(need.call), &Refusal::new(Cause::TransactionLost, 0));
+        };
+        let sent = self.shell.clock.now();
+        let run = held
+            .link
+            .adapt(&self.values, limit)
+            .and_then(|()| held.link.run(&need.run, None, limit));
+        match run {
+            Ok(reply) => {
+                self.observe(&held, sent, &reply);
+                if let Some(transaction) = &mut self.transaction {
+                    transaction.wrote |= need.writes;
+                    transaction.failed = reply.state != dialect::State::Open;
+                    transaction.held = Some(held);
+                }
+                self.caller.pass(&reply)
+            }
+            Err(failure) => {
+                // The instance rolls back what its connection leaves behind.
+                log::info!(target: "request", id = need.call.id, instance = &**held.instance,
+                    failure:%; "transaction lost");
+                self.discard(links, held, event::Outcome::Broken);
+                self.fail(Some(need.call), &Refusal::new(Cause::TransactionLost, 0))
+            }
+        }
+    }
+
+    /// Answers a statement whose transaction cannot go on.
+    fn fail(
+        &mut self,
+        call: Option<&dialect::Call>,
+        refusal: &Refusal,
+    ) -> Result<(), dialect::Failure> {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.failed = true;
+        }
+        self.note(telemetry::Outcome::Refused, std_time::Duration::ZERO);
+        self.refuse(call, refusal)
+    }
+
+    /// Begins the transaction at an instance, unless it has begun there.
+    fn ensure_begun(&mut self, links: &links::Links) -> Result<(), Refusal> {
+        let Some(transaction) = &self.transaction else {
+            return Ok(());
+        };
+        if transaction.held.is_some() {
+            let fresh = self.customer.is_none() || self.shell.inspect(kernel::Daemon::is_fresh);
+            let stale = Refusal::new(Cause::TransactionLost, UNREACHABLE_RETRY_MS);
+            return if fresh { Ok(()) } else { Err(stale) };
+        }
+        let reads = transaction.reads;
+        let access = if reads {
+            event::Access::Read
+        } else {
+            event::Access::Write
+        };
+        let deadline = std_time::Instant::now() + self.shell.settings.limits.wait;
+        let (limit, _) = self.limits();
+        let mut retry = false;
+        loop {
+            let mut held = self.obtain(links, access, retry, deadline)?;
+            retry = true;
+            let sent = self.shell.clock.now();
+            match held.link.begin(reads, held.floor, limit) {
+                Ok(reply) if reply.state == dialect::State::Open => {
+                    self.observe(&held, sent, &reply);
+                    if let Some(transaction) = &mut self.transaction {
+                        transaction.held = Some(held);
+                    }
+                    return Ok(());
+                }
+                Ok(reply) => {
+                    self.observe(&held, sent, &reply);
+                    let outcome = self.retry_outcome(&held, &reply);
+                    let outcome = outcome.unwrap_or(event::Outcome::Clean);
+                    self.give_back(links, held, outcome);
+                    pause(outcome);
+                }
+                Err(_) => self.discard(links, held, event::Outcome::Broken),
+            }
+            if std_time::Instant::now() >= deadline {
+                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
+            }
+        }
+    }
+
+    fn commit(
+        &mut self,
+        links: &links::Links,
+        call: &dialect::Call,
+    ) -> Result<(), dialect::Failure> {
+        if let Err(refusal) = self.ensure_begun(links) {
+            let held = self.transaction.take().and_then(|t| t.held);
+            if let Some(held) = held {
+                self.roll_back(links, held);
+            }
+            return self.refuse(Some(call), &refusal);
+        }
+        let begun = std_time::Instant::now();
+        let (limit, _) = self.limits();
+        let Some(Transaction {
+            held: Some(mut held),
+            wrote,
+            ..
+        }) = self.transaction.take()
+        else {
+            return self.refuse(Some(call), &Refusal::new(Cause::TransactionLost, 0));
+        };
+        let sent = self.shell.clock.now();
+        match held.link.run(&dialect::Run::Plain(call), None, limit) {
+            Ok(reply) => {
+                self.observe(&held, sent, &reply);
+                let need = Need {
+                    call,
+                    run: dialect::Run::Plain(call),
+                    writes: wrote,
+                };
+                self.finish(links, &need, held, &reply, begun)
+            }
+            Err(failure) => {
+                log::info!(target: "request", id = call.id, instance = &**held.instance,
+                    failure:%; "commit lost");
+                self.discard(links, held, event::Outcome::Broken);
+                let cause = if wrote {
+                    Cause::OutcomeUnknown
+                } else {
+                    Cause::TransactionLost
+                };
+                self.note(telemetry::Outcome::Unknown, begun.elapsed());
+                self.refuse(Some(call), &Refusal::new(cause, 0))
+            }
+        }
+    }
+
+    /// Asks the kernel for a connection and opens it.
+    fn obtain(
+        &mut self,
+        links: &links::Links,
+        access: event::Access,
+        mut retry: bool,
+        deadline: std_time::Instant,
+    ) -> Result<Held, Refusal> {
+        loop {
+            self.count += 1;
+            let number = self.count & ((1 << shell::REQUEST_BITS) - 1);
+            let request = event::RequestId(self.id.0 << shell::REQUEST_BITS | number);
+            self.shell.drive(event::Event::Requested(event::Request {
+                id: request,
+                session: self.id,
+                access,
+                retry,
+            }));
+            let grant = match self.handle.wait() {
+                shell::Reply::Grant(grant) => grant,
+                shell::Reply::Refuse(refusal) => return Err(refusal),
+                _ => return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS)),
+            };
+            let link = if self.shell.clock.now() < grant.until {
+                self.connect(links, &grant, deadline)
+            } else {
+                None
+            };
+            if let Some(link) = link {
+                return Ok(Held {
+                    link,
+                    request,
+                    instance: grant.instance,
+                    primary: grant.primary,
+                    floor: grant.floor,
+                });
+            }
+            self.release(request, event::Outcome::Unsent);
+            retry = true;
+            if std_time::Instant::now() >= deadline {
+                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
+    fn connect(
+        &self,
+        links: &links::Links,
+        grant: &event::Grant,
+        deadline: std_time::Instant,
+    ) -> Option<Box<dyn dialect::Link>> {
+        let fleet = self.shell.fleet();
+        let group = &fleet.routes.get(self.route.as_str())?.group;
+        let address = self.shell.instance_address(&grant.instance)?;
+        let purpose = links::Purpose {
+            group,
+            instance: &grant.instance,
+            address,
+            customer: self.customer.as_ref(),
+            values: &self.values,
+        };
+        let left = deadline.saturating_duration_since(std_time::Instant::now());
+        let taken = links.take(&purpose, grant.request, left);
+        if let Err(lost) = &taken {
+            log::info!(target: "request", instance = &**grant.instance, lost:%; "no connection");
+            links.clear(&grant.instance);
+        }
+        taken.ok()
+    }
+
+    /// Tells the kernel which position an instance has reached.
+    fn observe(&self, held: &Held, sent: kernel::time::Time, reply: &dialect::Reply) {
+        if let Some(applied) = reply.applied {
+            self.shell.drive(event::Event::Observed(event::Observation {
+                instance: held.instance.clone(),
+                sent,
+                applied,
+            }));
+        }
+    }
+
+    fn release(&self, request: event::RequestId, outcome: event::Outcome) {
+        self.shell.drive(event::Event::Released(request, outcome));
+    }
+
+    /// Closes the connection of a request.
+    fn discard(&self, links: &links::Links, held: Held, outcome: event::Outcome) {
+        links.drop_used(&held.instance, held.request);
+        drop(held.link);
+        // Others to the same instance may be as dead.
+        links.clear(&held.instance);
+        self.release(held.request, outcome);
+    }
+
+    /// Returns the connection of a request to the pool.
+    fn give_back(&self, links: &links::Links, held: Held, outcome: event::Outcome) {
+        links.put(
+            &held.instance,
+            self.customer.as_ref(),
+            held.request,
+            held.link,
+        );
+        self.release(held.request, outcome);
+    }
+
+    /// Rolls a transaction back at its instance.
+    fn roll_back(&self, links: &links::Links, mut held: Held) {
+        let (limit, _) = self.limits();
+        match held.link.rollback(limit) {
+            Ok(()) => self.give_back(links, held, event::Outcome::Clean),
+            Err(_) => self.discard(links, held, event::Outcome::Broken),
+        }
+    }
+
+    /// Rolls back what the caller leaves behind.
+    fn abandon(&mut self, links: &links::Links) {
+        if let Some(held) = self.transaction.take().and_then(|t| t.held) {
+            self.roll_back(links, held);
+        }
+    }
+}
+
+/// Waits before a statement that an instance could not take is tried again.
+fn pause(outcome: event::Outcome) {
+    if matches!(outcome, event::Outcome::Busy | event::Outcome::ReadOnly) {
+        thread::sleep(RETRY_PAUSE);
+    }
+}
--- a/components/daemon/src/failure.rs
+++ b/components/daemon/src/failure.rs
@@ -18,7 +18,10 @@
     Policy(#[error(not(source))] config::Problem),
     /// The platform could not be opened.
     #[display("{_0}")]
-    Platform(#[error(not(source))] platform::Failure),
+    Platform(#[error(not(source))] store::Failure),
+    /// The dialect of the settings is not registered.
+    #[display("dialect `{_0}` is not known; use `postgres` or one that this build registers")]
+    Dialect(#[error(not(source))] config::Name),
     /// The peers' thread could not start.
     #[display("{_0}")]
     Peers(#[error(not(source))] peer::Failure),
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,13 +6,15 @@
 mod admin;
 mod clock;
 mod daemon;
+mod dialogue;
 mod failure;
+mod links;
 mod monitor;
 mod pool;
 mod requests;
 mod session;
 mod shell;
-mod store;
+mod table;
 mod tls;
 
 pub use daemon::{Listeners, Running};
--- /dev/null
+++ b/components/daemon/src/links.rs
@@ -0,0 +1,194 @@
+//! Connections to instances over a dialect.
+
+use std::{collections, net, sync, time};
+
+use config::Name;
+use kernel::event;
+
+use crate::{monitor, pool, shell};
+
+/// Name under which the daemon itself connects.
+const OWN_USER: &str = "ebonygauge";
+
+type Broken = collections::HashMap<event::RequestId, sync::Arc<net::TcpStream>>;
+
+/// Connections that wait, and those in use.
+pub struct Links {
+    dialect: &'static dialect::Dialect,
+    source: net::IpAddr,
+    pool: pool::Pool<Box<dyn dialect::Link>>,
+    used: sync::Mutex<collections::HashMap<Name, Broken>>,
+}
+
+/// For whom a connection is needed.
+pub struct Purpose<'a> {
+    /// Group of the instance.
+    pub group: &'a Name,
+    /// Instance.
+    pub instance: &'a Name,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Customer; none on open routes.
+    pub customer: Option<&'a Name>,
+    /// Session values.
+    pub values: &'a dialect::Values,
+}
+
+impl Purpose<'_> {
+    fn user(&self) -> &str {
+        self.customer.map_or("-", |customer| customer)
+    }
+}
+
+impl Links {
+    /// No connections yet.
+    pub fn new(dialect: &'static dialect::Dialect, source: net::IpAddr) -> Self {
+        Self {
+            dialect,
+            source,
+            pool: pool::Pool::default(),
+            used: sync::Mutex::default(),
+        }
+    }
+
+    /// Dialect of the connections.
+    pub fn dialect(&self) -> &'static dialect::Dialect {
+        self.dialect
+    }
+
+    /// A connection with the session's values, idle or new, that others can
+    /// break while it is in use.
+    pub fn take(
+        &self,
+        purpose: &Purpose<'_>,
+        request: event::RequestId,
+        limit: time::Duration,
+    ) -> Result<Box<dyn dialect::Link>, dialect::Lost> {
+        let idle = self.pool.take(purpose.instance, purpose.user(), &|link| {
+            link.distance(purpose.values)
+        });
+        let link = match idle {
+            Some(link) => Ok(link),
+            None => self.connect(purpose, purpose.user(), limit),
+        };
+        let adapted = link.and_then(|mut link| {
+            let mut used = shell::lock(&self.used);
+            let sockets = used.entry(purpose.instance.clone()).or_default();
+            sockets.insert(request, link.socket());
+            drop(used);
+            link.adapt(purpose.values, limit).map(|()| link)
+        });
+        if adapted.is_err() {
+            self.drop_used(purpose.instance, request);
+        }
+        adapted
+    }
+
+    fn connect(
+        &self,
+        purpose: &Purpose<'_>,
+        user: &str,
+        limit: time::Duration,
+    ) -> Result<Box<dyn dialect::Link>, dialect::Lost> {
+        (self.dialect.connect)(&dialect::Target {
+            address: purpose.address,
+            source: self.source,
+            group: purpose.group.to_string(),
+            instance: purpose.instance.to_string(),
+            user: user.into(),
+            limit: limit.min(pool::CONNECT_TIMEOUT),
+        })
+    }
+
+    /// Puts a connection back after its transaction.
+    pub fn put(
+        &self,
+        instance: &Name,
+        customer: Option<&Name>,
+        request: event::RequestId,
+        link: Box<dyn dialect::Link>,
+    ) {
+        self.unuse(instance, request);
+        let user = customer.map_or("-", |customer| customer);
+        self.pool.put(instance, user, link);
+    }
+
+    /// A connection was closed.
+    pub fn drop_used(&self, instance: &Name, request: event::RequestId) {
+        self.unuse(instance, request);
+        self.pool.drop_used(instance);
+    }
+
+    fn unuse(&self, instance: &Name, request: event::RequestId) {
+        if let Some(sockets) = shell::lock(&self.used).get_mut(instance) {
+            sockets.remove(&request);
+        }
+    }
+
+    /// Breaks all connections to an instance.
+    pub fn sever(&self, instance: &Name) {
+        if let Some(sockets) = shell::lock(&self.used).get(instance) {
+            for socket in sockets.values() {
+                let _ = socket.shutdown(net::Shutdown::Both);
+            }
+        }
+        self.pool.clear(instance);
+    }
+
+    /// Instances with connections in use.
+    pub fn instances(&self) -> Vec<Name> {
+        shell::lock(&self.used).keys().cloned().collect()
+    }
+
+    /// Sets the number of connections to an instance.
+    pub fn resize(&self, instance: &Name, limit: u32) {
+        self.pool.resize(instance, limit);
+    }
+
+    /// Closes the idle connections to an instance.
+    pub fn clear(&self, instance: &Name) {
+        self.pool.clear(instance);
+    }
+
+    /// Makes a call to an instance, over a connection of the daemon's own.
+    pub fn ask(
+        &self,
+        group: &Name,
+        instance: &Name,
+        address: net::SocketAddr,
+        limit: time::Duration,
+        call: monitor::Call,
+    ) -> Result<dialect::Standing, dialect::Lost> {
+        let values = dialect::Values::new();
+        let purpose = Purpose {
+            group,
+            instance,
+            address,
+            customer: None,
+            values: &values,
+        };
+        let idle = self.pool.take(instance, OWN_USER, &|_| 0);
+        let link = match idle {
+            Some(link) => Ok(link),
+            None => self.connect(&purpose, OWN_USER, limit),
+        };
+        let asked = link.and_then(|mut link| {
+            let standing = match call {
+                monitor::Call::Poll | monitor::Call::Promote(_) => link.status(limit),
+                monitor::Call::Fence(term) => link.hold(term, limit),
+                monitor::Call::Depose(term) => link.depose(term, limit),
+            };
+            standing.map(|standing| (standing, link))
+        });
+        match asked {
+            Ok((standing, link)) => {
+                self.pool.put(instance, OWN_USER, link);
+                Ok(standing)
+            }
+            Err(lost) => {
+                self.pool.drop_used(instance);
+                Err(lost)
+            }
+        }
+    }
+}
--- a/components/daemon/src/monitor.rs
+++ b/components/daemon/src/monitor.rs
@@ -5,7 +5,7 @@
 use config::Name;
 use kernel::{event, position};
 
-use crate::shell;
+use crate::{links, shell};
 
 /// Time for an answer.
 const TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -23,6 +23,8 @@
     Fence(position::Term),
     /// Become primary.
     Promote(position::Term),
+    /// Step down below a term.
+    Depose(position::Term),
 }
 
 /// The calls of one instance, in order.
@@ -36,6 +38,7 @@
     /// Starts the thread; it ends with the monitor.
     pub fn start(
         shell: &sync::Arc<shell::Shell>,
+        group: Name,
         instance: Name,
         address: net::SocketAddr,
     ) -> Self {
@@ -47,7 +50,10 @@
                 let Some(shell) = weak.upgrade() else {
                     return;
                 };
-                answer(&shell, &instance, address, &mut connection, call);
+                match shell.links() {
+                    Some(links) => answer_over(&shell, links, &group, &instance, address, call),
+                    None => answer(&shell, &instance, address, &mut connection, call),
+                }
             }
         };
         let spawned = thread::Builder::new().stack_size(STACK_SIZE).spawn(run);
@@ -63,6 +69,47 @@
     }
 }
 
+/// Makes a call over a connection of the pool.
+fn answer_over(
+    shell: &shell::Shell,
+    links: &links::Links,
+    group: &Name,
+    instance: &Name,
+    address: net::SocketAddr,
+    call: Call,
+) {
+    let sent = shell.clock.now();
+    let standing = links.ask(group, instance, address, TIMEOUT, call);
+    let mut status = None;
+    match standing {
+        Ok(dialect::Standing::Status(told)) => status = Some(told),
+        Ok(dialect::Standing::Busy(Some(applied))) => {
+            shell.drive(event::Event::Observed(event::Observation {
+                instance: instance.clone(),
+                sent,
+                applied,
+            }));
+        }
+        Ok(dialect::Standing::Busy(None)) => {}
+        Err(lost) => log::debug!(instance = &***instance, lost:%; "no status"),
+    }
+    let instance = instance.clone();
+    shell.drive(match call {
+        Call::Poll => event::Event::Polled(event::Poll {
+            instance,
+            sent,
+            status,
+        }),
+        Call::Fence(term) => event::Event::Fenced(event::Fence {
+            instance,
+            term,
+            accepted: status.is_some(),
+            status,
+        }),
+        Call::Promote(_) | Call::Depose(_) => return,
+    });
+}
+
 fn answer(
     shell: &shell::Shell,
     instance: &Name,
@@ -89,6 +136,7 @@
         }),
         Call::Fence(term) => event::Event::Fenced(fence(instance, term, result)),
         Call::Promote(term) => event::Event::Promoted(fence(instance, term, result)),
+        Call::Depose(_) => return,
     });
 }
 
@@ -109,9 +157,9 @@
     if connection.as_ref().is_some_and(wire::Server::is_usable) {
         return;
     }
-    let mut endpoint = shell.pool.endpoint(address);
+    let mut endpoint = shell.login.endpoint(address);
     endpoint.timeout = TIMEOUT;
-    *connection = wire::Server::connect(endpoint, &shell.pool.login(DATABASE))
+    *connection = wire::Server::connect(endpoint, &shell.login.at(DATABASE))
         .ok()
         .and_then(|mut server| {
             let limited = server.channel.set_read_timeout(Some(TIMEOUT));
@@ -126,7 +174,7 @@
 ) -> Result<(bool, position::Status), wire::Failure> {
     let vm = &shell.settings.vm;
     match call {
-        Call::Poll => Ok((true, wire::poll(server)?)),
+        Call::Poll | Call::Depose(_) => Ok((true, wire::poll(server)?)),
         Call::Fence(term) => wire::fence(server, term, vm),
         Call::Promote(term) => wire::promote(server, term, vm),
     }
--- a/components/daemon/src/pool.rs
+++ b/components/daemon/src/pool.rs
@@ -1,4 +1,4 @@
-//! Connections to databases that wait for their next transaction.
+//! Connections to instances that wait for their next transaction.
 
 use std::{collections, net, sync, time};
 
@@ -7,91 +7,80 @@
 use crate::shell;
 
 /// Time to open a connection.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+pub const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
 
-#[derive(Default)]
-struct Shelf {
-    idle: Vec<(String, wire::Server)>,
-    used: usize,
-    limit: usize,
+/// A connection that can be kept.
+pub trait Pooled {
+    /// Whether it can take a transaction now.
+    fn is_usable(&self) -> bool;
+    /// Whether it is worth keeping.
+    fn is_reusable(&self) -> bool;
 }
 
-/// Idle connections by instance, within the limits that the kernel sets.
-pub struct Pool {
-    shelves: sync::Mutex<collections::HashMap<Name, Shelf>>,
-    source: net::IpAddr,
-    credentials: config::Credentials,
+struct Shelf<C> {
+    idle: Vec<(String, C)>,
+    used: usize,
+    limit: usize,
 }
 
-impl Pool {
-    /// An empty pool that connects from the source address.
-    pub fn new(source: net::IpAddr, credentials: config::Credentials) -> Self {
+impl<C> Default for Shelf<C> {
+    fn default() -> Self {
         Self {
-            shelves: sync::Mutex::default(),
-            source,
-            credentials,
-        }
-    }
-
-    /// Endpoint of an address.
-    pub fn endpoint(&self, address: net::SocketAddr) -> wire::Endpoint {
-        wire::Endpoint {
-            address,
-            source: self.source,
-            timeout: CONNECT_TIMEOUT,
+            idle: Vec::new(),
+            used: 0,
+            limit: 0,
         }
     }
+}
 
-    /// Login for a database.
-    pub fn login(&self, database: &str) -> wire::Login {
-        wire::Login {
-            user: self.credentials.user.clone(),
-            password: self.credentials.password.clone(),
-            database: database.into(),
-        }
-    }
+/// Idle connections by instance and login, within the limits that the kernel
+/// sets.
+pub struct Pool<C> {
+    shelves: sync::Mutex<collections::HashMap<Name, Shelf<C>>>,
+}
 
-    /// A usable connection, idle or new.
-    pub fn take(
-        &self,
-        instance: &Name,
-        address: net::SocketAddr,
-        database: &str,
-    ) -> Result<wire::Server, wire::Failure> {
-        if let Some(server) = self.take_idle(instance, database) {
-            return Ok(server);
-        }
-        let connected = wire::Server::connect(self.endpoint(address), &self.login(database));
-        if connected.is_err() {
-            self.drop_used(instance);
+impl<C> Default for Pool<C> {
+    fn default() -> Self {
+        Self {
+            shelves: sync::Mutex::default(),
         }
-        connected
     }
+}
 
-    /// Takes an idle connection, or makes room for a new one.
-    fn take_idle(&self, instance: &Name, database: &str) -> Option<wire::Server> {
+impl<C: Pooled> Pool<C> {
+    /// Takes the idle connection of a login that is nearest to what is needed,
+    /// or makes room for a new one.
+    pub fn take(&self, instance: &Name, login: &str, distance: &dyn Fn(&C) -> usize) -> Option<C> {
         let mut shelves = shell::lock(&self.shelves);
         let shelf = shelves.entry(instance.clone()).or_default();
         shelf.used += 1;
-        while let Some(index) = shelf.idle.iter().rposition(|(name, _)| name == database) {
-            let (_, server) = shelf.idle.swap_remove(index);
-            if server.is_usable() {
-                return Some(server);
+        loop {
+            // Of equally near ones the last used is the least likely to be closed.
+            let fitting = shelf.idle.iter().enumerate().rev();
+            let nearest = fitting
+                .filter(|(_, (name, _))| name == login)
+                .min_by_key(|(_, (_, connection))| distance(connection));
+            let Some((index, _)) = nearest else {
+                break;
+            };
+            let (_, connection) = shelf.idle.remove(index);
+            if connection.is_usable() {
+                return Some(connection);
             }
         }
-        if shelf.used + shelf.idle.len() > shelf.limit {
-            shelf.idle.pop();
+        if shelf.used + shelf.idle.len() > shelf.limit && !shelf.idle.is_empty() {
+            shelf.idle.remove(0);
         }
         None
     }
 
     /// Puts a connection back, or closes it if it is over the limit.
-    pub fn put(&self, instance: &Name, database: &str, server: wire::Server) {
+    pub fn put(&self, instance: &Name, login: &str, connection: C) {
         let mut shelves = shell::lock(&self.shelves);
         let shelf = shelves.entry(instance.clone()).or_default();
         shelf.used = shelf.used.saturating_sub(1);
-        if server.is_reusable() && shelf.used + shelf.idle.len() < shelf.limit {
-            shelf.idle.push((database.into(), server));
+        if connection.is_reusable() && shelf.used + shelf.idle.len() < shelf.limit {
+            shelf.idle.push((login.into(), connection));
         }
     }
 
@@ -120,3 +109,75 @@
         }
     }
 }
+
+impl Pooled for wire::Server {
+    fn is_usable(&self) -> bool {
+        wire::Server::is_usable(self)
+    }
+
+    fn is_reusable(&self) -> bool {
+        wire::Server::is_reusable(self)
+    }
+}
+
+impl Pooled for Box<dyn dialect::Link> {
+    fn is_usable(&self) -> bool {
+        (**self).is_usable()
+    }
+
+    fn is_reusable(&self) -> bool {
+        self.is_idle()
+    }
+}
+
+/// How the daemon logs in at the databases.
+pub struct Login {
+    source: net::IpAddr,
+    credentials: config::Credentials,
+}
+
+impl Login {
+    /// Logs in from the source address.
+    pub fn new(source: net::IpAddr, credentials: config::Credentials) -> Self {
+        Self {
+            source,
+            credentials,
+        }
+    }
+
+    /// Endpoint of an address.
+    pub fn endpoint(&self, address: net::SocketAddr) -> wire::Endpoint {
+        wire::Endpoint {
+            address,
+            source: self.source,
+            timeout: CONNECT_TIMEOUT,
+        }
+    }
+
+    /// Login for a database.
+    pub fn at(&self, database: &str) -> wire::Login {
+        wire::Login {
+            user: self.credentials.user.clone(),
+            password: self.credentials.password.clone(),
+            database: database.into(),
+        }
+    }
+
+    /// A usable connection, idle or new.
+    pub fn connect(
+        &self,
+        pool: &Pool<wire::Server>,
+        instance: &Name,
+        address: net::SocketAddr,
+        database: &str,
+    ) -> Result<wire::Server, wire::Failure> {
+        if let Some(server) = pool.take(instance, database, &|_| 0) {
+            return Ok(server);
+        }
+        let connected = wire::Server::connect(self.endpoint(address), &self.at(database));
+        if connected.is_err() {
+            pool.drop_used(instance);
+        }
+        connected
+    }
+}
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -285,7 +285,9 @@
     fn connect(&self, instance: &Name) -> Option<wire::Server> {
         let address = self.shell.instance_address(instance)?;
         let pool = &self.shell.pool;
-        let mut server = pool.take(instance, address, &self.database).ok()?;
+        let login = &self.shell.login;
+        let taken = login.connect(pool, instance, address, &self.database);
+        let mut server = taken.ok()?;
         for setting in self.statements.settings() {
             server.dirty = true;
             if matches!(server.rows(setting), Err(failure) if is_fatal(&failure)) {
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -9,7 +9,7 @@
 use errors::{Cause, Refusal};
 use kernel::{event, journal, position, time};
 
-use crate::{clock, monitor, pool, store};
+use crate::{clock, links, monitor, pool, table};
 
 /// Bits of a request's identity below its session's.
 pub const REQUEST_BITS: u32 = 24;
@@ -136,7 +136,10 @@
     /// Metrics.
     pub metrics: telemetry::Metrics,
     /// Connections to databases.
-    pub pool: pool::Pool,
+    pub pool: pool::Pool<wire::Server>,
+    /// Login at databases.
+    pub login: pool::Login,
+    links: Option<links::Links>,
     kernel: sync::Mutex<kernel::Daemon>,
     sessions: sync::RwLock<collections::HashMap<event::SessionId, sync::Arc<Handle>>>,
     fleet: sync::RwLock<sync::Arc<Fleet>>,
@@ -144,7 +147,7 @@
     monitors: sync::Mutex<collections::HashMap<Name, monitor::Monitor>>,
     used: sync::Mutex<Sockets>,
     peers: sync::OnceLock<peer::Handle>,
-    calls: mpsc::Sender<store::Call>,
+    calls: mpsc::Sender<table::Call>,
     tickets: sync::Mutex<collections::HashMap<event::Ticket, mpsc::Sender<event::Verdict>>>,
     next: atomic::AtomicU64,
     stopped: (sync::Mutex<bool>, sync::Condvar),
@@ -166,10 +169,13 @@
         settings: config::Settings,
         clock: clock::Clock,
         kernel: kernel::Daemon,
-        calls: mpsc::Sender<store::Call>,
+        calls: mpsc::Sender<table::Call>,
+        dialect: Option<&'static dialect::Dialect>,
     ) -> sync::Arc<Self> {
         let shell = sync::Arc::new(Self {
-            pool: pool::Pool::new(settings.address, settings.credentials.clone()),
+            pool: pool::Pool::default(),
+            login: pool::Login::new(settings.address, settings.credentials.clone()),
+            links: dialect.map(|dialect| links::Links::new(dialect, settings.address)),
             settings,
             clock,
             metrics: telemetry::Metrics::default(),
@@ -239,15 +245,23 @@
             event::Action::Send(to, message) => self.send(to, message),
             event::Action::Cancel(process, secret) => self.cancel_soon(process, secret),
             event::Action::Sever(instance) => self.sever(&instance),
-            event::Action::Load(key) => self.call(store::Call::Load(key)),
-            event::Action::Store(version, row) => self.call(store::Call::Store(version, row)),
+            event::Action::Load(key) => self.call(table::Call::Load(key)),
+            event::Action::Store(version, row) => self.call(table::Call::Store(version, row)),
+            event::Action::Erase(version, key) => self.call(table::Call::Erase(version, key)),
+            event::Action::Order(order) => self.call(table::Call::Order(order)),
+            event::Action::Depose(instance, term) => {
+                self.monitor(&instance, monitor::Call::Depose(term));
+            }
             event::Action::Answer(ticket, verdict) => {
                 if let Some(waiting) = lock(&self.tickets).remove(&ticket) {
                     let _ = waiting.send(verdict);
                 }
             }
             event::Action::Configured(fleet, _) => self.configure(fleet),
-            event::Action::Resize(instance, limit) => self.pool.resize(&instance, limit),
+            event::Action::Resize(instance, limit) => match &self.links {
+                Some(links) => links.resize(&instance, limit),
+                None => self.pool.resize(&instance, limit),
+            },
             event::Action::Record(entry) => self.record(&entry),
             event::Action::Stopped => {
                 *lock(&self.stopped.0) = true;
@@ -283,7 +297,7 @@
         }
     }
 
-    fn call(&self, call: store::Call) {
+    fn call(&self, call: table::Call) {
         let _ = self.calls.send(call);
     }
 
@@ -297,17 +311,21 @@
 
     fn configure(&self, fleet: sync::Arc<Fleet>) {
         let mut monitors = lock(&self.monitors);
-        let instances = || fleet.groups.values().flat_map(|group| &group.instances);
-        let keep: collections::HashMap<_, _> = instances().map(|i| (&i.name, i.address)).collect();
+        let instances = || {
+            let groups = fleet.groups.iter();
+            groups.flat_map(|(name, group)| group.instances.iter().map(move |i| (name, i)))
+        };
+        let keep: collections::HashMap<_, _> =
+            instances().map(|(_, i)| (&i.name, i.address)).collect();
         monitors.retain(|name, monitor| keep.get(name) == Some(&monitor.address));
         let Some(shell) = self.own.get().and_then(sync::Weak::upgrade) else {
             return;
         };
-        for instance in instances() {
+        for (group, instance) in instances() {
             let name = instance.name.clone();
-            monitors
-                .entry(name.clone())
-                .or_insert_with(|| monitor::Monitor::start(&shell, name, instance.address));
+            monitors.entry(name.clone()).or_insert_with(|| {
+                monitor::Monitor::start(&shell, group.clone(), name, instance.address)
+            });
         }
         drop(monitors);
         *write(&self.fleet) = fleet;
@@ -372,6 +390,9 @@
     }
 
     fn sever(&self, instance: &Name) {
+        if let Some(links) = &self.links {
+            return links.sever(instance);
+        }
         if let Some(sockets) = lock(&self.used).get(instance) {
             for socket in sockets.values() {
                 let _ = socket.shutdown(net::Shutdown::Both);
@@ -428,6 +449,29 @@
         }
     }
 
+    /// Connections over a dialect, if the daemon speaks one.
+    pub fn links(&self) -> Option<&links::Links> {
+        self.links.as_ref()
+    }
+
+    /// Waits until the calls to the platform so far have been made.
+    pub fn flush_calls(&self, limit: std::time::Duration) {
+        let (done, made) = mpsc::channel();
+        self.call(table::Call::Flush(done));
+        if made.recv_timeout(limit).is_err() {
+            log::warn!("calls to the platform were still under way at the end");
+        }
+    }
+
+    /// Ends the sessions that are still open.
+    pub fn end_sessions(&self) {
+        for handle in read(&self.sessions).values() {
+            if let Some(socket) = &handle.socket {
+                let _ = socket.shutdown(net::Shutdown::Read);
+            }
+        }
+    }
+
     /// Hands a note to the kernel and waits for the verdict.
     pub fn submit(&self, note: config::Note) -> event::Verdict {
         let ticket = event::Ticket(self.next.fetch_add(1, atomic::Ordering::Relaxed));
@@ -463,7 +507,8 @@
             }
             handle.push(Reply::Refuse(Refusal::new(Cause::Stopping, 0)));
         }
-        let instances: Vec<_> = lock(&self.used).keys().cloned().collect();
+        let mut instances: Vec<_> = lock(&self.used).keys().cloned().collect();
+        instances.extend(self.links.iter().flat_map(links::Links::instances));
         for instance in instances {
             self.sever(&instance);
         }
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -36,6 +36,10 @@
     IdleTransaction,
     /// The result of the request cannot be known.
     OutcomeUnknown,
+    /// The transaction was lost and rolled back; nothing of it is kept.
+    TransactionLost,
+    /// A read did not give a result.
+    ReadFailed,
 }
 
 /// Whether the refused request ran.
@@ -72,6 +76,8 @@
             Cause::Protocol => "08P01",
             Cause::IdleTransaction => "25P03",
             Cause::OutcomeUnknown => "08007",
+            Cause::TransactionLost => "40000",
+            Cause::ReadFailed => "58030",
         }
     }
 
@@ -92,12 +98,14 @@
             Cause::KeyExposed => "the statement contains the caller's key",
             Cause::IdleTransaction => "the transaction was idle for too long",
             Cause::OutcomeUnknown => "the result of the request is not known",
+            Cause::TransactionLost => "the transaction was lost and rolled back",
+            Cause::ReadFailed => "no database gave a result in time",
         }
     }
 
     fn ran(self) -> Ran {
         match self {
-            Cause::OutcomeUnknown => Ran::Unknown,
+            Cause::OutcomeUnknown | Cause::ReadFailed => Ran::Unknown,
             _ => Ran::No,
         }
     }
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -69,6 +69,7 @@
             group: route.group.clone(),
             age: (!age.is_zero()).then_some(age),
             floor: opening.token,
+            reads: route.reads,
             arrived: self.now,
         })
     }
@@ -116,6 +117,20 @@
         Ok(session.customer.clone())
     }
 
+    /// Takes over what the route says now; it holds from the next request on.
+    fn follow_route(&mut self, id: event::SessionId) {
+        let fleet = self.revisions.head().fleet.clone();
+        let Some(session) = self.sessions.open.get_mut(&id) else {
+            return;
+        };
+        if let Some(route) = fleet.routes.get(&session.route) {
+            let age = std_time::Duration::from_millis(route.age_ms);
+            session.age = (!age.is_zero()).then_some(age);
+            session.reads = route.reads;
+            session.group.clone_from(&route.group);
+        }
+    }
+
     pub(crate) fn charge(&mut self, request: event::Request, customer: &Name) {
         if request.retry {
             return self.enqueue(request);
@@ -191,6 +206,7 @@
     }
 
     pub(crate) fn enqueue(&mut self, request: event::Request) {
+        self.follow_route(request.session);
         let Some(session) = self.sessions.open.get(&request.session) else {
             return;
         };
@@ -208,9 +224,10 @@
             let refusal = Refusal::new(Cause::Unavailable, daemon::UNAVAILABLE_RETRY_MS);
             return self.refuse(&request, refusal);
         };
+        let latest = session.reads == config::Reads::Latest;
         let queue = match request.access {
-            event::Access::Read => &mut pool.reads,
-            event::Access::Write => &mut pool.writes,
+            event::Access::Read if !latest => &mut pool.reads,
+            _ => &mut pool.writes,
         };
         if queue.push(customer, weight, item).is_err() {
             let refusal = Refusal::new(Cause::NoCapacity, daemon::CAPACITY_RETRY_MS);
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -164,12 +164,14 @@
     gives: collections::BTreeMap<u64, time::Time>,
     nonce: u64,
     turn: usize,
+    polled: bool,
     policy: Box<dyn sharing::SharePolicy>,
 }
 
 impl Budgets {
-    /// No share of anything yet.
-    pub fn new(own: event::Member, policy: Box<dyn sharing::SharePolicy>) -> Self {
+    /// No share of anything yet. If VMs poll instances over connections of
+    /// their own, `polled`, these are set aside.
+    pub fn new(own: event::Member, policy: Box<dyn sharing::SharePolicy>, polled: bool) -> Self {
         Self {
             nonce: own.incarnation << 24,
             own,
@@ -181,6 +183,7 @@
             asks: collections::BTreeMap::new(),
             gives: collections::BTreeMap::new(),
             turn: 0,
+            polled,
             policy,
         }
     }
@@ -207,7 +210,7 @@
         self.gives.clear();
         for (scarce, part) in &mut self.parts {
             part.fill(now);
-            part.equal = equal_share(&self.epoch, &self.own, scarce, part.total);
+            part.equal = equal_share(&self.epoch, &self.own, scarce, part.total, self.polled);
             let target = if self.joined { part.equal } else { 0 };
             part.units = part.units.min(target);
             part.level = part.level.min(part.cap());
@@ -215,6 +218,25 @@
         true
     }
 
+    /// Forgets the shares of an earlier run; the next epoch names the new one.
+    pub fn restart(&mut self, own: event::Member, now: time::Time) {
+        self.own = own;
+        self.joined = false;
+        self.grown = false;
+        self.asks.clear();
+        self.gives.clear();
+        for part in self.parts.values_mut() {
+            part.fill(now);
+            part.units = 0;
+            part.level = 0;
+        }
+    }
+
+    /// Forgets the budgets that `gone` selects.
+    pub fn forget(&mut self, gone: &dyn Fn(&Scarce) -> bool) {
+        self.parts.retain(|scarce, _| !gone(scarce));
+    }
+
     /// Gives everything to those who ask from now on, and asks for nothing.
     pub fn close(&mut self) {
         self.closing = true;
@@ -239,7 +261,7 @@
 
     /// Makes known a budget, or its new limit.
     pub fn configure(&mut self, scarce: Scarce, total: u64, limit: Limit, now: time::Time) {
-        let equal = equal_share(&self.epoch, &self.own, &scarce, total);
+        let equal = equal_share(&self.epoch, &self.own, &scarce, total, self.polled);
         let units = if self.grown && self.joined { equal } else { 0 };
         let part = self.parts.entry(scarce).or_insert_with(|| Part {
             total,
@@ -453,7 +475,13 @@
 }
 
 /// Part of a member in the equal split; the first members take the remainder.
-fn equal_share(epoch: &event::Epoch, own: &event::Member, scarce: &Scarce, total: u64) -> u64 {
+fn equal_share(
+    epoch: &event::Epoch,
+    own: &event::Member,
+    scarce: &Scarce,
+    total: u64,
+    polled: bool,
+) -> u64 {
     let members = u64::try_from(epoch.members.len()).unwrap_or(u64::MAX);
     let Some(rank) = epoch.members.iter().position(|member| member == own) else {
         return 0;
@@ -463,7 +491,8 @@
         Scarce::Rate(_) => total,
         // Every member polls over a connection of its own, and so does a VM
         // that is not yet a member.
-        Scarce::Connections(_) => total.saturating_sub(members + 1),
+        Scarce::Connections(_) if polled => total.saturating_sub(members + 1),
+        Scarce::Connections(_) => total,
     };
     total / members + u64::from(rank < total % members)
 }
--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -3,7 +3,7 @@
 use config::Name;
 use errors::{Cause, Refusal};
 
-use crate::{daemon, event, position, sessions, time};
+use crate::{daemon, event, group, position, sessions, time};
 
 impl daemon::Daemon {
     pub(crate) fn released(&mut self, id: event::RequestId, outcome: event::Outcome) {
@@ -14,6 +14,18 @@
             *busy = busy.saturating_sub(1);
         }
         let group = granted.group.clone();
+        let ruled = self.arbiter == group::Arbiter::Store;
+        if let Some(pool) = self.pools.get_mut(&group).filter(|_| ruled) {
+            match outcome {
+                event::Outcome::Behind(floor) => {
+                    pool.group.lacked(self.now, &granted.instance, floor);
+                }
+                event::Outcome::Broken | event::Outcome::Unsent | event::Outcome::ReadOnly => {
+                    pool.group.want(self.now);
+                }
+                _ => {}
+            }
+        }
         if let event::Outcome::Committed(status) = outcome {
             let committing = sessions::Committing {
                 target: status.and_then(|status| place(&granted, status)),
@@ -23,7 +35,9 @@
             };
             let commits = self.sessions.commits.entry(group.clone()).or_default();
             commits.insert(id, committing);
-            if let Some(pool) = self.pools.get_mut(&group) {
+            if ruled {
+                self.settle(&group);
+            } else if let Some(pool) = self.pools.get_mut(&group) {
                 pool.group.want(self.now);
             }
             self.poll(&group);
@@ -44,8 +58,13 @@
         let confirmation = pool.group.confirmation(self.now);
         let mut done = Vec::new();
         for (id, commit) in commits.iter_mut() {
-            let lost = pool.group.newest() > commit.granted.term || self.now >= commit.deadline;
-            if lost {
+            let ruled = self.arbiter == group::Arbiter::Store;
+            let leads = confirmation
+                .as_ref()
+                .is_some_and(|found| found.primary == commit.granted.instance);
+            let replaced = ruled && (!leads || commit.target.is_none());
+            let newer = pool.group.newest() > commit.granted.term;
+            if newer || replaced || self.now >= commit.deadline {
                 done.push((*id, None));
                 continue;
             }
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -3,7 +3,7 @@
 use config::Fleet;
 use errors::{Cause, Refusal};
 
-use crate::{budget, daemon, event, group, journal, promotion};
+use crate::{budget, daemon, event, group, handover, journal, promotion};
 
 impl daemon::Daemon {
     /// Brings everything in line with the configuration in force.
@@ -20,9 +20,15 @@
             self.budgets
                 .configure(scarce, budget::RATE_UNITS, limit, self.now);
         }
+        self.budgets.forget(&|scarce| match scarce {
+            budget::Scarce::Rate(customer) => !fleet.customers.contains_key(customer),
+            budget::Scarce::Connections(instance) => !self.owner.contains_key(instance),
+        });
         self.resize();
         self.end_forbidden();
-        self.record(journal::Decision::Revision { revision, source });
+        if self.watching.announce(revision) {
+            self.record(journal::Decision::Revision { revision, source });
+        }
         self.out.push(event::Action::Configured(fleet, revision));
     }
 
@@ -39,13 +45,16 @@
                 self.budgets.configure(scarce, total, limit, self.now);
             }
             if let Some(pool) = self.pools.get_mut(name) {
-                pool.group.configure(config);
+                pool.group.configure(config, self.now);
                 continue;
             }
-            let group = group::Group::new(config, timing.lease, timing.poll, self.now);
+            let (lease, poll) = (timing.lease, timing.poll);
+            let group =
+                group::Group::new(name.clone(), config, lease, poll, self.arbiter, self.now);
             let pool = daemon::Pool {
                 group,
                 promotion: promotion::Promotion::default(),
+                handover: handover::Handover::default(),
                 primary: None,
                 reads: build(bound),
                 writes: build(bound),
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -4,7 +4,7 @@
 
 use config::Name;
 
-use crate::{budget, daemon, event, journal, message, promotion, revision, time};
+use crate::{budget, daemon, event, group, journal, message, promotion, revision, time};
 
 /// Shortest time between two budget epochs.
 const EPOCH_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
@@ -59,9 +59,13 @@
 
 impl daemon::Daemon {
     pub(crate) fn tick_control(&mut self) {
-        self.load_due();
+        if self.arbiter == group::Arbiter::Instances {
+            self.load_due();
+            self.step_revisions();
+        } else {
+            self.keep_member();
+        }
         self.ping(false);
-        self.step_revisions();
         self.propose_epoch();
         self.grow();
         self.send_asks();
@@ -77,13 +81,17 @@
         }
     }
 
-    fn send(&mut self, to: Name, message: message::Message) {
+    pub(crate) fn send(&mut self, to: Name, message: message::Message) {
         self.out.push(event::Action::Send(to, message));
     }
 
     fn own_report(&self) -> message::Report {
         let epoch = self.budgets.epoch().number;
-        self.members.report(self.now, self.revision(), epoch)
+        let mut report = self.members.report(self.now, self.revision(), epoch);
+        if self.arbiter == group::Arbiter::Store {
+            report.positions = self.known_positions();
+        }
+        report
     }
 
     fn ping(&mut self, at_once: bool) {
@@ -107,7 +115,7 @@
             message::Message::Ping(sent, report) => self.pinged(from, sent, &report),
             message::Message::Pong(sent, report) => self.ponged(from, sent, &report),
             message::Message::Vms(vms) => {
-                if self.members.vms().is_empty() {
+                if self.members.vms().is_empty() && self.arbiter == group::Arbiter::Instances {
                     self.listed(vms);
                 }
             }
@@ -125,6 +133,8 @@
             message::Message::Give(give) => self.given(from, &give),
             message::Message::Took(nonce) => self.budgets.took(nonce),
             message::Message::Suspect(suspicion) => self.suspected(from, &suspicion),
+            message::Message::Close(claim) => self.close_leader(from, &claim),
+            message::Message::Closed(claim) => self.closed_leader(from, &claim),
             message::Message::Cancel(process, secret) => {
                 self.out.push(event::Action::Cancel(process, secret));
             }
@@ -148,6 +158,7 @@
         let epoch = self.budgets.epoch().number;
         let current = |r: u64, e: u64| r <= revision && e <= epoch;
         self.members.ponged(from, self.now, sent, report, &current);
+        self.learn_positions(sent, &report.positions);
         self.catch_up(from, report);
         self.step_revisions();
         self.grow();
@@ -155,12 +166,13 @@
 
     /// Sends what the peer lacks, and asks for what this daemon lacks.
     fn catch_up(&mut self, peer: &Name, report: &message::Report) {
-        if report.revision > self.revision() {
+        let ruled = self.arbiter == group::Arbiter::Store;
+        if report.revision > self.revision() && !ruled {
             let fetch = message::Message::Fetch(self.revision());
             self.send(peer.clone(), fetch);
         }
         let vms = self.members.vms();
-        if !report.listed && !vms.is_empty() {
+        if !report.listed && !vms.is_empty() && !ruled {
             let vms = vms.clone();
             self.send(peer.clone(), message::Message::Vms(vms));
         }
@@ -201,11 +213,12 @@
         }
     }
 
-    pub(crate) fn loaded(&mut self, key: event::RowKey, loaded: event::Loaded) {
+    pub(crate) fn loaded(&mut self, key: &event::RowKey, loaded: event::Loaded) {
         let answered = loaded != event::Loaded::Unavailable;
         match key {
             event::RowKey::Head => self.loaded_head(loaded, answered),
             event::RowKey::Epoch => self.loaded_epoch(loaded, answered),
+            event::RowKey::Member(_) | event::RowKey::Leader(_) => return,
         }
         let (head, epoch) = (self.control.head.answered, self.control.epoch.answered);
         if let (Some(head), Some(epoch)) = (head, epoch) {
@@ -225,7 +238,7 @@
         self.step_revisions();
     }
 
-    fn loaded_epoch(&mut self, loaded: event::Loaded, answered: bool) {
+    pub(crate) fn loaded_epoch(&mut self, loaded: event::Loaded, answered: bool) {
         self.control.epoch.finish(answered);
         match loaded {
             event::Loaded::Found(version, event::Row::Epoch(epoch)) => {
@@ -237,8 +250,11 @@
         }
     }
 
-    pub(crate) fn stored(&mut self, key: event::RowKey, stored: event::Stored) {
+    pub(crate) fn stored(&mut self, key: &event::RowKey, stored: event::Stored) {
         match key {
+            event::RowKey::Member(_) => self.watching.member_stored(),
+            event::RowKey::Leader(group) => self.stored_leader(group, stored),
+            event::RowKey::Epoch if self.arbiter == group::Arbiter::Store => {}
             event::RowKey::Head => {
                 if let Some(step) = self.revisions.stored(self.now, stored) {
                     self.revise(step);
@@ -306,7 +322,7 @@
     }
 
     /// Takes up the shares of the epoch once nobody can use older ones.
-    fn grow(&mut self) {
+    pub(crate) fn grow(&mut self) {
         let number = self.budgets.epoch().number;
         if number == 0 || self.budgets.is_grown() {
             return;
@@ -432,14 +448,19 @@
         let Some(domain) = self.members.domain(from).cloned() else {
             return;
         };
+        let now = self.now;
         if let Some(pool) = self.pools.get_mut(&suspicion.group) {
+            pool.handover.suspected(from.clone(), suspicion.term, now);
             pool.promotion
-                .suspected(from.clone(), domain, suspicion.term, self.now);
+                .suspected(from.clone(), domain, suspicion.term, now);
         }
     }
 
     /// Moves the replacement of a group's primary on.
     pub(crate) fn promote(&mut self, group: &Name) {
+        if self.arbiter == group::Arbiter::Store {
+            return self.step_handover(group);
+        }
         let judge = promotion::Judge {
             vm: self.setup.vm.clone(),
             domain: self.setup.domain.clone(),
@@ -503,7 +524,7 @@
         }
     }
 
-    fn tell_suspicion(&mut self, group: &Name) {
+    pub(crate) fn tell_suspicion(&mut self, group: &Name) {
         let suspicion = message::Suspicion {
             group: group.clone(),
             term: self.pools[group].group.newest(),
@@ -514,7 +535,7 @@
         }
     }
 
-    fn group_of(&self, instance: &Name) -> Option<Name> {
+    pub(crate) fn group_of(&self, instance: &Name) -> Option<Name> {
         self.owner.get(instance).cloned()
     }
 
@@ -523,6 +544,12 @@
             return;
         };
         let now = self.now;
+        if self.arbiter == group::Arbiter::Store {
+            if let Some(pool) = self.pools.get_mut(&name) {
+                pool.handover.held(fence);
+            }
+            return self.step_handover(&name);
+        }
         if let Some(pool) = self.pools.get_mut(&name) {
             let majority = pool.group.majority();
             let step = pool.promotion.fenced(fence, majority, &pool.group, now);
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -7,8 +7,8 @@
 use errors::{Cause, Refusal};
 
 use crate::{
-    admission, budget, consistency, event, group, journal, membership, plugin, position, promotion,
-    revision, sessions, time,
+    admission, budget, consistency, event, group, handover, journal, membership, plugin, position,
+    promotion, revision, sessions, time, view,
 };
 
 /// Retry hint where a database is missing, in ms.
@@ -31,6 +31,10 @@
     pub domain: Name,
     /// Its region.
     pub region: Name,
+    /// Region of each failure domain, where the settings tell it.
+    pub domains: collections::BTreeMap<Name, Name>,
+    /// Address for peers, `IP:port`.
+    pub peer: String,
     /// Distinguishes this run; larger than that of any earlier run on the VM.
     pub incarnation: u64,
     /// Periods.
@@ -45,6 +49,7 @@
 pub(crate) struct Pool {
     pub(crate) group: group::Group,
     pub(crate) promotion: promotion::Promotion,
+    pub(crate) handover: handover::Handover,
     pub(crate) primary: Option<(position::Term, Name)>,
     pub(crate) reads: Box<dyn admission::Queue>,
     pub(crate) writes: Box<dyn admission::Queue>,
@@ -70,6 +75,9 @@
     pub(crate) revisions: revision::Revisions,
     pub(crate) journal: journal::Journal,
     pub(crate) control: crate::control::Control,
+    pub(crate) view: view::View,
+    pub(crate) watching: crate::watching::Watching,
+    pub(crate) arbiter: group::Arbiter,
     pub(crate) owner: collections::HashMap<Name, Name>,
     pub(crate) busy: collections::HashMap<Name, u32>,
     pub(crate) lanes: collections::BTreeMap<Name, collections::VecDeque<admission::Waiting>>,
@@ -87,14 +95,21 @@
         let admission = plugin::admission(&setup.policy.admission)?;
         let reads = (plugin::reads(&setup.policy.reads)?.build)();
         let sharing = (plugin::sharing(&setup.policy.budget)?.build)();
+        let arbiter = plugin::arbiter(&setup.policy.arbiter)?;
         let members = membership::Membership::new(
             setup.vm.clone(),
             setup.region.clone(),
             setup.incarnation,
             &setup.timing,
+            arbiter,
         );
+        // Instances poll over connections of their own only without the store.
+        let polled = arbiter == group::Arbiter::Instances;
         Ok(Self {
-            budgets: budget::Budgets::new(members.own(), sharing),
+            budgets: budget::Budgets::new(members.own(), sharing, polled),
+            view: view::View::default(),
+            watching: crate::watching::Watching::default(),
+            arbiter,
             members,
             setup,
             now,
@@ -133,8 +148,11 @@
             event::Event::Promoted(fence) => self.promoted(&fence),
             event::Event::Received(from, message) => self.received(&from, message),
             event::Event::Listed(vms) => self.listed(vms),
-            event::Event::Loaded(key, loaded) => self.loaded(key, loaded),
-            event::Event::Stored(key, stored) => self.stored(key, stored),
+            event::Event::Loaded(key, loaded) => self.loaded(&key, loaded),
+            event::Event::Stored(key, stored) => self.stored(&key, stored),
+            event::Event::Watched(update) => self.watched(update),
+            event::Event::Observed(seen) => self.observed(&seen),
+            event::Event::Ordered(group, ordered) => self.ordered(&group, ordered),
             event::Event::Submitted(ticket, note) => {
                 self.revisions.submit(ticket, note, self.now);
                 self.step_revisions();
@@ -293,6 +311,9 @@
     }
 
     pub(crate) fn sever_silent(&mut self, group: &Name) {
+        if self.arbiter == group::Arbiter::Store {
+            return;
+        }
         let limit = self.setup.timing.suspect * SEVER_FACTOR;
         let Some(pool) = self.pools.get_mut(group) else {
             return;
@@ -381,6 +402,7 @@
             return;
         }
         self.stopped = true;
+        self.release_member();
         self.out.push(event::Action::Stopped);
     }
 }
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -30,7 +30,9 @@
         let Some(confirmation) = pool.group.confirmation(self.now) else {
             return false;
         };
-        if self.free(&confirmation.primary).0 == 0 {
+        let leader = pool.group.instances.get(&confirmation.primary);
+        if self.free(&confirmation.primary).0 == 0 || leader.is_some_and(|seen| self.is_over(seen))
+        {
             return false;
         }
         let (sessions, budgets, now) = (&self.sessions, &self.budgets, self.now);
@@ -50,6 +52,7 @@
             group,
             &confirmation.primary,
             confirmation.term,
+            None,
         );
         true
     }
@@ -61,6 +64,14 @@
         }
     }
 
+    /// Whether a leaving instance must not get new transactions any more.
+    fn is_over(&self, seen: &group::Seen) -> bool {
+        let limit = self.setup.timing.drain;
+        let stored = self.arbiter == group::Arbiter::Store;
+        let since = seen.leaving_since.filter(|_| stored);
+        since.is_some_and(|since| self.now.since(since) >= limit)
+    }
+
     pub(crate) fn candidates(&self, pool: &daemon::Pool) -> Vec<consistency::Candidate> {
         let confirmation = pool.group.confirmation(self.now);
         let primary = pool.group.primary();
@@ -68,8 +79,9 @@
         for (name, seen) in &pool.group.instances {
             let is_primary = primary == Some(name);
             let draining = pool.promotion.is_draining(self.now);
+            let over = self.is_over(seen);
             let closed = if is_primary {
-                confirmation.is_none() || draining
+                confirmation.is_none() || draining || over
             } else {
                 seen.leaving
             };
@@ -117,8 +129,9 @@
             if !is_payable(sessions, budgets, item, now, &mut short) {
                 return false;
             }
+            let need = Need::of(view, session, now);
             for candidate in &mut candidates {
-                candidate.fresh = is_fresh(view, session, candidate, now);
+                candidate.fresh = need.is_met(view, session, candidate, now);
             }
             choice = reads.choose(&candidates);
             choice.is_some()
@@ -127,12 +140,23 @@
         let (Some(item), Some(choice)) = (item, choice) else {
             return false;
         };
-        let instance = candidates.swap_remove(choice).name;
+        let chosen = candidates.swap_remove(choice);
         self.settle_floor(item.request.session, group);
-        self.grant(&item.request, group, &instance, term);
+        let floor = self.applied_floor(item.request.session, group);
+        let floor = floor.filter(|_| !chosen.primary);
+        self.grant(&item.request, group, &chosen.name, term, floor);
         true
     }
 
+    /// Floor that a replica must have applied for the session, if it checks.
+    fn applied_floor(&self, session: event::SessionId, group: &Name) -> Option<position::Floor> {
+        let session = self.sessions.open.get(&session)?;
+        match Need::of(&self.pools.get(group)?.group, session, self.now) {
+            Need::Applied(floor) => Some(floor),
+            _ => None,
+        }
+    }
+
     /// Fixes the floor of a session from a sample taken since its arrival.
     pub(crate) fn settle_floor(&mut self, session: event::SessionId, group: &Name) {
         let (Some(session), Some(pool)) =
@@ -151,6 +175,7 @@
         group: &Name,
         instance: &Name,
         term: position::Term,
+        floor: Option<position::Floor>,
     ) {
         self.pay(request);
         *self.busy.entry(instance.clone()).or_default() += 1;
@@ -174,6 +199,7 @@
             instance: instance.clone(),
             primary: primary == Some(instance),
             until,
+            floor,
         }));
     }
 
@@ -208,16 +234,61 @@
     paid
 }
 
-/// Whether the candidate shows everything that the session must see.
-fn is_fresh(
+/// What an instance must have applied for a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Need {
+    /// Known from the statuses of the instances.
+    Status,
+    /// Nothing.
+    Nothing,
+    /// A floor, which the instance itself checks.
+    Applied(position::Floor),
+    /// Only the leader will do.
+    Leader,
+}
+
+impl Need {
+    fn of(group: &group::Group, session: &sessions::Session, now: time::Time) -> Self {
+        let own = session.floor.map(|floor| group.translate(floor));
+        match (session.reads, session.age) {
+            (config::Reads::OwnOrAge, _) => Need::Status,
+            (config::Reads::Latest, _) => Need::Leader,
+            (config::Reads::OwnAndAge, None) => own.map_or(Need::Nothing, Need::Applied),
+            (config::Reads::OwnAndAge, Some(age)) => match group.floor_of_age(age, now) {
+                Some(floor) => Need::Applied(own.map_or(floor, |own| own.max(floor))),
+                None => Need::Leader,
+            },
+        }
+    }
+
+    /// Whether the candidate shows everything that the session must see, as far
+    /// as is known here.
+    fn is_met(
+        self,
+        group: &group::Group,
+        session: &sessions::Session,
+        candidate: &consistency::Candidate,
+        now: time::Time,
+    ) -> bool {
+        if candidate.primary {
+            return true;
+        }
+        match self {
+            Need::Status => shows(group, session, candidate, now),
+            Need::Nothing => true,
+            Need::Applied(floor) => !group.is_behind(&candidate.name, floor, now),
+            Need::Leader => false,
+        }
+    }
+}
+
+/// Whether the replica's status shows what the session must see.
+fn shows(
     group: &group::Group,
     session: &sessions::Session,
     candidate: &consistency::Candidate,
     now: time::Time,
 ) -> bool {
-    if candidate.primary {
-        return true;
-    }
     if let Some(age) = session.age {
         return group.age(&candidate.name, now).is_some_and(|a| a <= age);
     }
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -7,7 +7,7 @@
 use errors::Refusal;
 use serde::{Deserialize, Serialize};
 
-use crate::{journal, message, position, time};
+use crate::{journal, leader, message, position, time, view};
 
 /// A caller's connection at this daemon.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -43,6 +43,10 @@
     Broken,
     /// A replica refused a write (25006); nothing ran.
     ReadOnly,
+    /// The instance had no room; nothing ran.
+    Busy,
+    /// The instance has not applied the floor yet; nothing ran.
+    Behind(position::Floor),
 }
 
 /// A VM of the platform's list.
@@ -95,6 +99,18 @@
     pub incarnation: u64,
 }
 
+/// Entry of a VM that takes part.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Entry {
+    /// Where it is.
+    pub vm: Vm,
+    /// Run of its daemon.
+    pub incarnation: u64,
+    /// It has given up everything that it held.
+    pub released: bool,
+}
+
 /// A row of the platform's table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -103,12 +119,26 @@
     Head(Head),
     /// Budget epoch.
     Epoch(Epoch),
+    /// A VM that takes part.
+    Member(Entry),
+    /// Who leads a group.
+    Leader(Name, leader::Leader),
+}
+
+impl Row {
+    /// Name of the row.
+    pub fn key(&self) -> RowKey {
+        match self {
+            Row::Head(_) => RowKey::Head,
+            Row::Epoch(_) => RowKey::Epoch,
+            Row::Member(entry) => RowKey::Member(entry.vm.name.clone()),
+            Row::Leader(group, _) => RowKey::Leader(group.clone()),
+        }
+    }
 }
 
 /// Names of the rows.
-#[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RowKey {
     /// Configuration head.
@@ -117,6 +147,32 @@
     /// Budget epoch.
     #[display("epoch")]
     Epoch,
+    /// A VM that takes part.
+    #[display("member/{_0}")]
+    Member(Name),
+    /// Who leads a group.
+    #[display("leader/{_0}")]
+    Leader(Name),
+}
+
+/// A text that names no row.
+#[derive(Clone, Copy, Debug, Display, derive_more::Error, PartialEq, Eq)]
+#[display("the text names no row")]
+pub struct BadKey;
+
+impl TryFrom<&str> for RowKey {
+    type Error = BadKey;
+
+    fn try_from(raw: &str) -> Result<Self, Self::Error> {
+        let name = |raw: &str| Name::try_from(raw).map_err(|_| BadKey);
+        match raw.split_once('/') {
+            None if raw == "head" => Ok(RowKey::Head),
+            None if raw == "epoch" => Ok(RowKey::Epoch),
+            Some(("member", vm)) => Ok(RowKey::Member(name(vm)?)),
+            Some(("leader", group)) => Ok(RowKey::Leader(name(group)?)),
+            _ => Err(BadKey),
+        }
+    }
 }
 
 /// Result of reading a row.
@@ -196,6 +252,12 @@
     Loaded(RowKey, Loaded),
     /// Answer to a store.
     Stored(RowKey, Stored),
+    /// A watch of the store has returned.
+    Watched(view::Update),
+    /// An instance told its position with an answer.
+    Observed(Observation),
+    /// Answer to an order, or none.
+    Ordered(Name, Ordered),
     /// An operator's release note.
     Submitted(Ticket, sync::Arc<Note>),
     /// A graceful stop begins.
@@ -213,6 +275,28 @@
     pub status: Option<position::Status>,
 }
 
+/// Position that an instance told with an answer.
+#[derive(Clone, Debug)]
+pub struct Observation {
+    /// Instance.
+    pub instance: Name,
+    /// When the request was sent.
+    pub sent: time::Time,
+    /// Last position visible to reads there.
+    pub applied: position::Floor,
+}
+
+/// Result of ordering a promotion from the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// The platform has taken the order.
+    Accepted,
+    /// The instance cannot take over.
+    Rejected,
+    /// No answer; the order may have been taken.
+    Unknown,
+}
+
 /// Answer of an instance to a fence or a promotion.
 #[derive(Clone, Debug)]
 pub struct Fence {
@@ -278,6 +362,12 @@
     Load(RowKey),
     /// Write a row if its version is as given.
     Store(u64, Row),
+    /// Remove a row if its version is as given.
+    Erase(u64, RowKey),
+    /// Order from the platform that an instance takes over.
+    Order(Order),
+    /// Ask the instance to step down below a term.
+    Depose(Name, position::Term),
     /// Answer an operator.
     Answer(Ticket, Verdict),
     /// A new configuration is in force here.
@@ -292,6 +382,19 @@
     Stopped,
 }
 
+/// A promotion to order from the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Group.
+    pub group: Name,
+    /// Instance that takes over.
+    pub instance: Name,
+    /// Fencing token; grows with every claim.
+    pub token: u64,
+    /// Time after which the order must not be sent.
+    pub until: time::Time,
+}
+
 /// Leave to run a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -303,6 +406,8 @@
     pub primary: bool,
     /// Time before which it must start.
     pub until: time::Time,
+    /// What the instance must have applied.
+    pub floor: Option<position::Floor>,
 }
 
 /// What a session is told at its start.
--- a/components/kernel/src/group.rs
+++ b/components/kernel/src/group.rs
@@ -5,12 +5,16 @@
 //! fences a majority and then waits out the lease before it promotes, so both
 //! majorities share an instance, and no daemon holds a confirmation of an
 //! older term when a newer primary starts.
+//!
+//! Where the platform's store arbitrates, a confirmation is a ruling of the
+//! store within its validity instead, and only the leader is polled, and only
+//! where no answer of it was seen of late.
 
 use std::{collections, time as std_time};
 
 use config::{Durability, Name};
 
-use crate::{position, time};
+use crate::{leader, position, time};
 
 /// Shortest time between two polls of an instance that serve waiting requests.
 const POLL_SPACING: std_time::Duration = std_time::Duration::from_millis(1);
@@ -20,6 +24,10 @@
 const HISTORY: usize = 256;
 /// Weight of a new round-trip time in its average, in 1/8.
 const RTT_WEIGHT: u64 = 1;
+/// Time between two positions in the history.
+const HISTORY_SPACING: std_time::Duration = std_time::Duration::from_millis(40);
+/// Time for which a replica that lacked a floor is not asked for it again.
+const BEHIND_PERIOD: std_time::Duration = std_time::Duration::from_millis(60);
 
 /// What is known of one instance.
 #[derive(Debug, Default)]
@@ -30,6 +38,10 @@
     pub rtt: u64,
     /// Leaving: no new transaction.
     pub leaving: bool,
+    /// Since when it is leaving.
+    pub leaving_since: Option<time::Time>,
+    /// Floor that it lacked, and when.
+    behind: Option<(time::Time, position::Floor)>,
     /// Its silence has been acted on.
     severed: bool,
     sent: time::Time,
@@ -57,6 +69,7 @@
 /// State of one group as seen by this daemon.
 #[derive(Debug)]
 pub struct Group {
+    name: Name,
     /// Instances by name.
     pub instances: collections::BTreeMap<Name, Seen>,
     durability: Durability,
@@ -69,17 +82,33 @@
     sample: Option<Sample>,
     history: collections::VecDeque<(time::Time, position::Floor)>,
     wanted: time::Time,
+    arbiter: Arbiter,
+    ruling: Option<leader::Ruling>,
+    /// The leader said that it is a replica.
+    unled: bool,
+}
+
+/// Who says which instance leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arbiter {
+    /// A majority of the group's instances.
+    Instances,
+    /// The platform's store.
+    Store,
 }
 
 impl Group {
     /// A group of which nothing is known yet.
     pub fn new(
+        name: Name,
         config: &config::Group,
         lease: std_time::Duration,
         interval: std_time::Duration,
+        arbiter: Arbiter,
         now: time::Time,
     ) -> Self {
         let mut group = Self {
+            name,
             instances: collections::BTreeMap::new(),
             durability: config.durability,
             lease,
@@ -91,19 +120,28 @@
             sample: None,
             history: collections::VecDeque::new(),
             wanted: time::Time::default(),
+            arbiter,
+            ruling: None,
+            unled: false,
         };
-        group.configure(config);
+        group.configure(config, now);
         group
     }
 
+    /// Its name.
+    pub fn name(&self) -> &Name {
+        &self.name
+    }
+
     /// Takes over members and durability of a new configuration.
-    pub fn configure(&mut self, config: &config::Group) {
+    pub fn configure(&mut self, config: &config::Group, now: time::Time) {
         self.durability = config.durability;
         let keep: collections::BTreeSet<_> = config.instances.iter().map(|i| &i.name).collect();
         self.instances.retain(|name, _| keep.contains(name));
         for instance in &config.instances {
             let seen = self.instances.entry(instance.name.clone()).or_default();
             seen.leaving = instance.leaving;
+            seen.leaving_since = instance.leaving.then(|| seen.leaving_since.unwrap_or(now));
         }
     }
 
@@ -125,7 +163,11 @@
     /// Instances to poll now; counts them as polled.
     pub fn due(&mut self, now: time::Time, waiting: bool) -> Vec<Name> {
         let mut names = Vec::new();
+        let leader = self.ruling.as_ref().map(|ruling| &ruling.instance);
         for (name, seen) in &mut self.instances {
+            if self.arbiter == Arbiter::Store && leader != Some(name) {
+                continue;
+            }
             let since = now.since(seen.sent);
             let asked = self.wanted > seen.sent && since >= POLL_SPACING;
             let again = waiting && seen.pending == 0 && since >= POLL_SPACING;
@@ -161,6 +203,9 @@
         } else {
             (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
         };
+        if self.primary() == Some(instance) {
+            self.unled = status.role == position::Role::Replica;
+        }
         self.observe(now, instance, sent, status);
     }
 
@@ -180,11 +225,17 @@
         }
         seen.severed = false;
         seen.status = Some((sent, status));
+        let ruled = self.arbiter == Arbiter::Store;
+        if ruled && self.primary() != Some(instance) {
+            return;
+        }
         if status.promised > self.newest {
             self.newest = status.promised;
             self.changed = now;
             self.known = false;
-            self.history.clear();
+            if !ruled {
+                self.history.clear();
+            }
         }
         if status.role == position::Role::Primary && status.term == self.newest {
             self.live = self.live.max(sent);
@@ -198,17 +249,49 @@
             term: status.term,
             lsn: status.received,
         };
-        if self.history.len() == HISTORY {
+        if self.history.len() == HISTORY && self.arbiter == Arbiter::Instances {
             self.history.pop_front();
         }
-        self.history.push_back((sent, floor));
+        if self.arbiter == Arbiter::Instances {
+            self.history.push_back((sent, floor));
+        } else {
+            self.learn(sent, floor);
+        }
         if self.confirmation(now).is_some() {
             self.sample = Some(Sample { sent, floor });
         }
     }
 
+    /// Takes in a position that the leader had reached when a request sent at
+    /// `sent` arrived there; seen here or by a peer.
+    pub fn learn(&mut self, sent: time::Time, floor: position::Floor) {
+        let index = self.history.partition_point(|(at, _)| *at <= sent);
+        let near = |other: Option<&(time::Time, position::Floor)>| {
+            other.is_some_and(|(at, _)| {
+                at.since(sent) < HISTORY_SPACING && sent.since(*at) < HISTORY_SPACING
+            })
+        };
+        let before = index.checked_sub(1).and_then(|i| self.history.get(i));
+        if near(before) || near(self.history.get(index)) {
+            return;
+        }
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+            return self.learn(sent, floor);
+        }
+        self.history.insert(index, (sent, floor));
+    }
+
+    /// Newest position of the leader that is known, with its time.
+    pub fn newest_position(&self) -> Option<(time::Time, position::Floor)> {
+        self.history.back().copied()
+    }
+
     /// Primary of the newest term, whether confirmed or not.
     pub fn primary(&self) -> Option<&Name> {
+        if self.arbiter == Arbiter::Store {
+            return self.ruling.as_ref().map(|ruling| &ruling.instance);
+        }
         self.instances
             .iter()
             .find(|(_, seen)| {
@@ -221,6 +304,9 @@
 
     /// Valid confirmation at `now`, if any.
     pub fn confirmation(&self, now: time::Time) -> Option<Confirmation> {
+        if self.arbiter == Arbiter::Store {
+            return self.ruled(now);
+        }
         let primary = self.primary()?;
         let mut sent: Vec<_> = self
             .instances
@@ -239,6 +325,123 @@
         })
     }
 
+    /// Confirmation that follows from the store's ruling. A ruling without a
+    /// term needs an answer of the leader first.
+    fn ruled(&self, now: time::Time) -> Option<Confirmation> {
+        let ruling = self.ruling.as_ref()?;
+        let known = self.newest != position::Term::default();
+        (known && ruling.until > now).then(|| Confirmation {
+            term: self.newest,
+            primary: ruling.instance.clone(),
+            until: ruling.until,
+        })
+    }
+
+    /// Takes over what the store rules; true if the leader or term changed.
+    pub fn rule(&mut self, ruling: Option<leader::Ruling>, now: time::Time) -> bool {
+        let leads = |ruling: &leader::Ruling| (ruling.instance.clone(), ruling.term);
+        let changed = self.ruling.as_ref().map(leads) != ruling.as_ref().map(leads);
+        let appointed = ruling.as_ref().is_some_and(|ruling| {
+            ruling.term > self.newest
+                || self
+                    .ruling
+                    .as_ref()
+                    .is_none_or(|old| old.instance != ruling.instance)
+        });
+        if appointed {
+            self.changed = now;
+            self.known = false;
+            self.sample = None;
+            self.unled = false;
+        }
+        if let Some(ruling) = &ruling {
+            self.newest = self.newest.max(ruling.term);
+        }
+        self.ruling = ruling;
+        changed
+    }
+
+    /// What the store rules.
+    pub fn ruling(&self) -> Option<&leader::Ruling> {
+        self.ruling.as_ref()
+    }
+
+    /// Takes in the position that an instance told with an answer.
+    pub fn placed(
+        &mut self,
+        now: time::Time,
+        instance: &Name,
+        sent: time::Time,
+        applied: position::Floor,
+    ) {
+        let leads = self.primary() == Some(instance);
+        let Some(seen) = self.instances.get_mut(instance) else {
+            return;
+        };
+        let rtt = time::micros(now.since(sent));
+        seen.rtt = if seen.rtt == 0 {
+            rtt
+        } else {
+            (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
+        };
+        seen.sent = seen.sent.max(sent);
+        if seen.behind.is_some_and(|(_, floor)| floor <= applied) {
+            seen.behind = None;
+        }
+        let role = if leads && !self.unled {
+            position::Role::Primary
+        } else {
+            position::Role::Replica
+        };
+        let status = position::Status {
+            term: applied.term,
+            promised: applied.term,
+            role,
+            received: applied.lsn,
+            replayed: applied.lsn,
+            start: position::Lsn::default(),
+        };
+        self.observe(now, instance, sent, status);
+    }
+
+    /// The instance lacked a floor.
+    pub fn lacked(&mut self, now: time::Time, instance: &Name, floor: position::Floor) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.behind = Some((now, floor));
+        }
+    }
+
+    /// Whether the instance has lacked this floor, or a lower one, of late.
+    pub fn is_behind(&self, instance: &Name, floor: position::Floor, now: time::Time) -> bool {
+        let behind = self.instances.get(instance).and_then(|seen| seen.behind);
+        behind.is_some_and(|(at, lacked)| floor >= lacked && now.since(at) < BEHIND_PERIOD)
+    }
+
+    /// Oldest known position of the leader that is no older than `age`. It
+    /// covers all that was acknowledged before.
+    pub fn floor_of_age(
+        &self,
+        age: std_time::Duration,
+        now: time::Time,
+    ) -> Option<position::Floor> {
+        let fresh = |(sent, _): &&(time::Time, position::Floor)| now.since(*sent) <= age;
+        self.history
+            .iter()
+            .find(fresh)
+            .map(|(_, floor)| self.translate(*floor))
+    }
+
+    /// Floor in the frame of the newest term: what a change of leader has
+    /// rolled back cannot be waited for.
+    pub fn translate(&self, floor: position::Floor) -> position::Floor {
+        let ruling = self.ruling.as_ref();
+        let start = ruling.and_then(|ruling| ruling.start.map(|start| (ruling.term, start)));
+        match start {
+            Some((term, start)) if floor.term < term => floor.min(start),
+            _ => floor,
+        }
+    }
+
     /// Floor of a session that arrived at `arrived`, once a sample allows one.
     pub fn arrival_floor(&self, arrived: time::Time) -> Option<position::Floor> {
         let sample = self.sample.as_ref()?;
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -97,6 +97,22 @@
         /// Whether shares could grow.
         grown: bool,
     },
+    /// A silent VM was removed from the store.
+    #[display("{vm} removed from the store: {}", if *released { "it has stopped" } else { "silent" })]
+    Evicted {
+        /// VM.
+        vm: Name,
+        /// It had given up what it held.
+        released: bool,
+    },
+    /// A step in the replacement of a leader that the store arbitrates.
+    #[display("leader of {group}: {note}")]
+    Handover {
+        /// Group.
+        group: Name,
+        /// What happened and why.
+        note: crate::handover::Note,
+    },
     /// A burst of refusals to one customer.
     #[display("{count} requests of {customer} refused: {cause}")]
     Refusals {
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -15,7 +15,9 @@
 mod dispatch;
 pub mod event;
 pub mod group;
+pub mod handover;
 pub mod journal;
+pub mod leader;
 pub mod membership;
 pub mod message;
 pub mod plugin;
@@ -25,6 +27,8 @@
 mod sessions;
 pub mod sharing;
 pub mod time;
+pub mod view;
+mod watching;
 
 pub use daemon::{Daemon, Setup};
 pub use event::{Action, Event};
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -9,7 +9,7 @@
 
 use config::Name;
 
-use crate::{event, message, time};
+use crate::{event, group, message, time};
 
 /// Periods without an answer after which a VM no longer serves as relay.
 const RELAY_PERIODS: u32 = 5;
@@ -29,6 +29,25 @@
     pub revision: u64,
     /// Budget epoch confirmed there.
     pub epoch: u64,
+    /// When it left the list.
+    pub delisted: Option<time::Time>,
+    /// Run that has given up everything it held.
+    pub released: u64,
+}
+
+impl Peer {
+    fn new(touch: time::Time) -> Self {
+        Self {
+            listed: None,
+            incarnation: 0,
+            proof: time::Time::default(),
+            touch,
+            revision: 0,
+            epoch: 0,
+            delisted: None,
+            released: 0,
+        }
+    }
 }
 
 /// Membership as seen by one daemon.
@@ -44,11 +63,18 @@
     pinged: Option<time::Time>,
     period: std_time::Duration,
     refusal: std_time::Duration,
+    arbiter: group::Arbiter,
 }
 
 impl Membership {
     /// Membership of a daemon that has seen no list yet.
-    pub fn new(vm: Name, region: Name, incarnation: u64, timing: &config::Timing) -> Self {
+    pub fn new(
+        vm: Name,
+        region: Name,
+        incarnation: u64,
+        timing: &config::Timing,
+        arbiter: group::Arbiter,
+    ) -> Self {
         Self {
             vm,
             region,
@@ -60,6 +86,7 @@
             pinged: None,
             period: timing.gossip,
             refusal: timing.refusal,
+            arbiter,
         }
     }
 
@@ -80,22 +107,19 @@
     pub fn list(&mut self, vms: Vec<event::Vm>, now: time::Time) {
         self.own_listed = vms.iter().any(|vm| vm.name == self.vm);
         for peer in self.peers.values_mut() {
-            peer.listed = None;
+            if peer.listed.take().is_some() {
+                peer.delisted = Some(now);
+            }
         }
         self.vms.clone_from(&vms);
         for vm in vms {
             if vm.name == self.vm {
                 continue;
             }
-            let peer = self.peers.entry(vm.name.clone()).or_insert_with(|| Peer {
-                listed: None,
-                incarnation: 0,
-                proof: time::Time::default(),
-                touch: now,
-                revision: 0,
-                epoch: 0,
-            });
+            let peer = self.peers.entry(vm.name.clone());
+            let peer = peer.or_insert_with(|| Peer::new(now));
             peer.listed = Some(vm);
+            peer.delisted = None;
         }
         let refusal = self.refusal;
         self.peers
@@ -203,6 +227,7 @@
             epoch,
             listed: !self.vms.is_empty(),
             heard,
+            positions: Vec::new(),
         }
     }
 
@@ -235,6 +260,7 @@
                 epoch: heard.epoch,
                 listed: true,
                 heard: Vec::new(),
+                positions: Vec::new(),
             };
             self.learn(&heard.vm, now.before(age), &summary, proof);
         }
@@ -247,14 +273,8 @@
         report: &message::Report,
         proof: Option<time::Time>,
     ) {
-        let peer = self.peers.entry(vm.clone()).or_insert_with(|| Peer {
-            listed: None,
-            incarnation: report.incarnation,
-            proof: time::Time::default(),
-            touch,
-            revision: 0,
-            epoch: 0,
-        });
+        let peer = self.peers.entry(vm.clone());
+        let peer = peer.or_insert_with(|| Peer::new(touch));
         if report.incarnation > peer.incarnation {
             peer.incarnation = report.incarnation;
             peer.revision = 0;
@@ -286,15 +306,47 @@
         (at != time::Time::default()).then_some(at)
     }
 
-    /// Whether a majority was heard within the refusal time.
+    /// Takes over which run of a VM the store names.
+    pub fn register(&mut self, entry: &event::Entry) {
+        if let Some(peer) = self.peers.get_mut(&entry.vm.name) {
+            if entry.incarnation > peer.incarnation {
+                peer.incarnation = entry.incarnation;
+                peer.revision = 0;
+                peer.epoch = 0;
+            }
+            if entry.released {
+                peer.released = peer.released.max(entry.incarnation);
+            }
+        }
+    }
+
+    /// Starts a new run of this daemon, after the list has dropped the last.
+    pub fn renew(&mut self, incarnation: u64) -> event::Member {
+        self.incarnation = incarnation;
+        self.own()
+    }
+
+    /// Whether this VM stands in the list.
+    pub fn is_listed(&self) -> bool {
+        self.own_listed
+    }
+
+    /// Whether a majority was heard within the refusal time; where the store
+    /// arbitrates, whether the store was.
     pub fn sees_majority(&self, now: time::Time) -> bool {
+        if self.arbiter == group::Arbiter::Store {
+            return self.own_listed && self.stored.is_some_and(|at| now.since(at) < self.refusal);
+        }
         self.majority_time(now)
             .is_some_and(|at| now.since(at) < self.refusal)
     }
 
     /// End of the time for which the configuration here counts as in force.
     pub fn fresh_until(&self, now: time::Time) -> Option<time::Time> {
-        let at = self.majority_time(now).max(self.stored)?;
+        let at = match self.arbiter {
+            group::Arbiter::Instances => self.majority_time(now).max(self.stored)?,
+            group::Arbiter::Store => self.stored.filter(|_| self.own_listed)?,
+        };
         Some(at + self.refusal)
     }
 
@@ -306,10 +358,11 @@
         let Some(peer) = self.peers.get(&member.vm) else {
             return self.own_listed;
         };
-        if peer.incarnation > member.incarnation {
+        if peer.incarnation > member.incarnation || peer.released >= member.incarnation {
             return true;
         }
-        peer.listed.is_none() && self.is_silent(peer, now)
+        let kept = |at: time::Time| now.since(at) <= self.refusal;
+        peer.listed.is_none() && !peer.delisted.is_some_and(kept) && self.is_silent(peer, now)
     }
 
     /// Whether nobody has heard of the VM for the refusal time.
@@ -332,6 +385,7 @@
             .filter(|(_, peer)| peer.incarnation != 0 && !self.is_silent(peer, now));
         let mut members: Vec<_> = answering
             .filter(|(_, peer)| peer.listed.as_ref().is_some_and(|vm| !vm.leaving))
+            .filter(|(_, peer)| peer.released < peer.incarnation)
             .map(|(name, peer)| event::Member {
                 vm: name.clone(),
                 incarnation: peer.incarnation,
--- a/components/kernel/src/message.rs
+++ b/components/kernel/src/message.rs
@@ -39,6 +39,32 @@
     pub listed: bool,
     /// What it knows of other VMs.
     pub heard: Vec<Heard>,
+    /// Newest positions of leaders that it knows.
+    pub positions: Vec<Placed>,
+}
+
+/// Position of a group's leader at some time before the report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Placed {
+    /// Group.
+    pub group: Name,
+    /// Position.
+    pub floor: position::Floor,
+    /// Time since the request that told it was sent, in microseconds.
+    pub age: u64,
+}
+
+/// A claim to replace the leader of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Claim {
+    /// Group.
+    pub group: Name,
+    /// Fencing token of the claim.
+    pub token: u64,
+    /// Transactions at the old leader may finish first.
+    pub planned: bool,
 }
 
 /// A suspicion of a lost primary.
@@ -76,6 +102,10 @@
     Took(u64),
     /// The sender cannot reach the primary.
     Suspect(Suspicion),
+    /// Asks to stop using the leader of a group.
+    Close(Claim),
+    /// The sender no longer uses the leader, and acknowledges no commit of it.
+    Closed(Claim),
     /// Cancels a statement that runs at the receiver: process and secret.
     Cancel(i32, i32),
 }
--- a/components/kernel/src/plugin.rs
+++ b/components/kernel/src/plugin.rs
@@ -5,7 +5,7 @@
 
 use config::Name;
 
-use crate::{admission, consistency, sharing};
+use crate::{admission, consistency, group, sharing};
 
 /// Builds a queue of waiting requests with a bound.
 pub struct Admission {
@@ -31,7 +31,24 @@
     pub build: fn() -> Box<dyn sharing::SharePolicy>,
 }
 
+/// Names who says which instance of a group leads.
+pub struct Arbiter {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Who it is.
+    pub arbiter: group::Arbiter,
+}
+
+inventory::submit! {
+    Arbiter { name: "instances", arbiter: group::Arbiter::Instances }
+}
+
+inventory::submit! {
+    Arbiter { name: "store", arbiter: group::Arbiter::Store }
+}
+
 inventory::collect!(Admission);
+inventory::collect!(Arbiter);
 inventory::collect!(Reads);
 inventory::collect!(Sharing);
 
@@ -66,10 +83,19 @@
         .ok_or_else(|| unknown(name, inventory::iter::<Sharing>.into_iter().map(|p| p.name)))
 }
 
+/// Arbiter of that name.
+pub fn arbiter(name: &Name) -> Result<group::Arbiter, config::Problem> {
+    let mut all = inventory::iter::<Arbiter>.into_iter();
+    all.find(|plugin| plugin.name == &***name)
+        .map(|plugin| plugin.arbiter)
+        .ok_or_else(|| unknown(name, inventory::iter::<Arbiter>.into_iter().map(|p| p.name)))
+}
+
 /// Checks that every policy of the settings is registered.
 pub fn check(policy: &config::Policy) -> Result<(), config::Problem> {
     admission(&policy.admission)?;
     reads(&policy.reads)?;
     sharing(&policy.budget)?;
+    arbiter(&policy.arbiter)?;
     Ok(())
 }
--- a/components/kernel/src/revision.rs
+++ b/components/kernel/src/revision.rs
@@ -81,6 +81,13 @@
         true
     }
 
+    /// Takes over a head unless it is older.
+    pub fn replace(&mut self, head: sync::Arc<event::Head>) {
+        if head.revision >= self.head.revision {
+            self.head = head;
+        }
+    }
+
     /// Moves forward by notes that follow the revision in force.
     pub fn extend(&mut self, after: u64, notes: &[sync::Arc<Note>]) -> bool {
         let mut moved = false;
--- a/components/kernel/src/sessions.rs
+++ b/components/kernel/src/sessions.rs
@@ -19,6 +19,8 @@
     pub group: Name,
     /// Age that its reads accept.
     pub age: Option<std_time::Duration>,
+    /// What its reads must see.
+    pub reads: config::Reads,
     /// What it must be able to see; none until a sample gives it.
     pub floor: Option<position::Floor>,
     /// When it arrived.
--- /dev/null
+++ b/components/kernel/src/view.rs
@@ -0,0 +1,246 @@
+//! The platform's store as this daemon last saw it.
+//!
+//! Three parts are watched by themselves: the operators' configuration, the
+//! instances that register, and the fleet's own rows. A part is as old as the
+//! sending of the read that proved it, on a clock that counts suspended time.
+//! What it allows ends with its age, so a daemon that cannot read gives up by
+//! itself whatever it held.
+
+use std::{collections, net, sync};
+
+use config::{Fleet, Name};
+
+use crate::{event, leader, position, time};
+
+/// A part of the store that is watched by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display)]
+pub enum Part {
+    /// Operators' configuration.
+    #[display("configuration")]
+    Configuration,
+    /// Instances that have registered.
+    #[display("instances")]
+    Instances,
+    /// Rows of the fleet itself.
+    #[display("rows")]
+    Rows,
+}
+
+/// Configuration as the operators wrote it; groups have no instances in it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Document {
+    /// Number of the revision.
+    pub revision: u64,
+    /// Customers, groups and routes.
+    pub fleet: Fleet,
+    /// Connections that each instance of a group accepts.
+    pub connections: collections::BTreeMap<Name, u32>,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// Group it belongs to.
+    pub group: Name,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Failure domain.
+    pub domain: Name,
+    /// It will end soon.
+    pub leaving: bool,
+    /// It takes itself for the primary.
+    pub leads: bool,
+    /// Start of its process, in Unix ms.
+    pub born: u64,
+}
+
+/// A change of one entry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A new configuration.
+    Configuration(sync::Arc<Document>),
+    /// An instance; none if it is gone.
+    Instance(Name, Option<Registration>),
+    /// A row at its version; none if it is gone.
+    Row(event::RowKey, Option<(u64, event::Row)>),
+}
+
+/// What a watch has found.
+#[derive(Clone, Debug)]
+pub struct Update {
+    /// Part.
+    pub part: Part,
+    /// When the read was sent.
+    pub sent: time::Time,
+    /// The changes are all there is; what they do not name is gone.
+    pub whole: bool,
+    /// Changes in order.
+    pub changes: Vec<Change>,
+}
+
+/// The view of one daemon.
+#[derive(Debug, Default)]
+pub struct View {
+    seen: collections::BTreeMap<Part, time::Time>,
+    document: Option<sync::Arc<Document>>,
+    instances: collections::BTreeMap<Name, Registration>,
+    rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
+}
+
+impl View {
+    /// Takes in an update; true if anything changed.
+    pub fn apply(&mut self, update: Update) -> bool {
+        let seen = self.seen.entry(update.part).or_default();
+        *seen = (*seen).max(update.sent);
+        let mut changed = update.whole && self.forget(update.part, &update.changes);
+        for change in update.changes {
+            changed |= self.change(change);
+        }
+        changed
+    }
+
+    /// Drops the entries of a part that a whole read no longer names.
+    fn forget(&mut self, part: Part, changes: &[Change]) -> bool {
+        let before = self.instances.len() + self.rows.len();
+        match part {
+            Part::Configuration => {}
+            Part::Instances => {
+                let names: collections::BTreeSet<_> = changes
+                    .iter()
+                    .filter_map(|change| match change {
+                        Change::Instance(name, _) => Some(name),
+                        _ => None,
+                    })
+                    .collect();
+                self.instances.retain(|name, _| names.contains(name));
+            }
+            Part::Rows => {
+                let keys: collections::BTreeSet<_> = changes
+                    .iter()
+                    .filter_map(|change| match change {
+                        Change::Row(key, _) => Some(key),
+                        _ => None,
+                    })
+                    .collect();
+                self.rows.retain(|key, _| keys.contains(key));
+            }
+        }
+        self.instances.len() + self.rows.len() != before
+    }
+
+    fn change(&mut self, change: Change) -> bool {
+        match change {
+            Change::Configuration(document) => {
+                let newer = self
+                    .document
+                    .as_ref()
+                    .is_none_or(|own| own.revision < document.revision);
+                if newer {
+                    self.document = Some(document);
+                }
+                newer
+            }
+            Change::Instance(name, Some(entry)) => {
+                self.instances.insert(name, entry.clone()) != Some(entry)
+            }
+            Change::Instance(name, None) => self.instances.remove(&name).is_some(),
+            Change::Row(key, Some((version, row))) => {
+                let newer = self.rows.get(&key).is_none_or(|(own, _)| *own < version);
+                if newer {
+                    self.rows.insert(key, (version, row));
+                }
+                newer
+            }
+            Change::Row(key, None) => self.rows.remove(&key).is_some(),
+        }
+    }
+
+    /// Sending of the newest read of a part.
+    pub fn seen(&self, part: Part) -> Option<time::Time> {
+        self.seen.get(&part).copied()
+    }
+
+    /// Configuration with the instances that have registered.
+    pub fn fleet(&self) -> Option<(u64, Fleet)> {
+        let document = self.document.as_ref()?;
+        let mut fleet = document.fleet.clone();
+        for (name, entry) in &self.instances {
+            let Some(group) = fleet.groups.get_mut(&entry.group) else {
+                continue;
+            };
+            group.instances.push(config::Instance {
+                name: name.clone(),
+                address: entry.address,
+                domain: entry.domain.clone(),
+                connections: document
+                    .connections
+                    .get(&entry.group)
+                    .copied()
+                    .unwrap_or_default(),
+                leaving: entry.leaving,
+            });
+        }
+        Some((document.revision, fleet))
+    }
+
+    /// What an instance says of itself.
+    pub fn instance(&self, name: &str) -> Option<&Registration> {
+        self.instances.get(name)
+    }
+
+    /// A row with its version.
+    pub fn row(&self, key: &event::RowKey) -> Option<&(u64, event::Row)> {
+        self.rows.get(key)
+    }
+
+    /// Version of a row; 0 if there is none.
+    pub fn version(&self, key: &event::RowKey) -> u64 {
+        self.rows.get(key).map_or(0, |(version, _)| *version)
+    }
+
+    /// VMs that take part, with the version of their rows.
+    pub fn members(&self) -> impl Iterator<Item = (u64, &event::Entry)> {
+        self.rows.values().filter_map(|(version, row)| match row {
+            event::Row::Member(entry) => Some((*version, entry)),
+            _ => None,
+        })
+    }
+
+    /// Row of a group's leader with its version.
+    pub fn leader(&self, group: &Name) -> Option<(u64, &leader::Leader)> {
+        match self.rows.get(&event::RowKey::Leader(group.clone()))? {
+            (version, event::Row::Leader(_, leader)) => Some((*version, leader)),
+            _ => None,
+        }
+    }
+
+    /// The only instance of a group that takes itself for the primary.
+    pub fn self_styled(&self, group: &Name) -> Option<&Name> {
+        let mut all = self
+            .instances
+            .iter()
+            .filter(|(_, entry)| entry.group == *group && entry.leads);
+        let (name, _) = all.next()?;
+        all.next().is_none().then_some(name)
+    }
+
+    /// Leader that the rows allow to use until `until`. A claim known from
+    /// elsewhere, by its token, counts although its row has not been seen.
+    pub fn ruling(&self, group: &Name, until: time::Time, token: u64) -> Option<leader::Ruling> {
+        let Some((version, row)) = self.leader(group) else {
+            let instance = self.self_styled(group).filter(|_| token == 0)?;
+            return Some(leader::Ruling {
+                instance: instance.clone(),
+                term: position::Term(0),
+                start: None,
+                until,
+            });
+        };
+        (row.claim.is_none() && version >= token).then(|| leader::Ruling {
+            instance: row.instance.clone(),
+            term: row.term,
+            start: Some(row.start),
+            until,
+        })
+    }
+}
--- a/components/kernel/tests/common/mod.rs
+++ b/components/kernel/tests/common/mod.rs
@@ -157,6 +157,8 @@
             vm: name(&format!("vm-{i}")),
             domain: name(&format!("domain-{}", i % 3)),
             region: name("home"),
+            domains: collections::BTreeMap::new(),
+            peer: String::new(),
             incarnation: 1 + i as u64,
             timing: config::Timing {
                 lease: ms(options
@@ -169,6 +171,8 @@
                 refusal: ms(options.refusal_ms),
                 platform: ms(500),
                 stop: ms(10_000),
+                drain: ms(5_000),
+                tick: ms(2),
             },
             limits: config::Limits {
                 message: 1 << 20,
@@ -182,6 +186,7 @@
                 reads: name(&options.reads),
                 admission: name(&options.admission),
                 budget: name(&options.budget),
+                ..config::Policy::default()
             },
         };
         let setups: Vec<_> = (0..options.vms).map(setup).collect();
@@ -452,7 +457,7 @@
             }
             Parcel::Run(vm, id, instance) => self.execute(vm, id, instance),
             Parcel::Load(vm, key) => {
-                let loaded = self.load(vm, key);
+                let loaded = self.load(vm, &key);
                 self.post(STEP, Parcel::Kernel(vm, event::Event::Loaded(key, loaded)));
             }
             Parcel::Store(vm, version, row) => self.store(vm, version, row),
@@ -594,28 +599,25 @@
         caller.token = caller.token.max(Some(floor));
     }
 
-    fn load(&mut self, vm: usize, key: event::RowKey) -> event::Loaded {
+    fn load(&mut self, vm: usize, key: &event::RowKey) -> event::Loaded {
         if self.store_down || self.cut_store.contains(&vm) {
             return event::Loaded::Unavailable;
         }
-        match self.rows.get(&key) {
+        match self.rows.get(key) {
             Some((version, row)) => event::Loaded::Found(*version, row.clone()),
             None => event::Loaded::Missing,
         }
     }
 
     fn store(&mut self, vm: usize, version: u64, row: event::Row) {
-        let key = match &row {
-            event::Row::Head(_) => event::RowKey::Head,
-            event::Row::Epoch(_) => event::RowKey::Epoch,
-        };
+        let key = row.key();
         let current = self.rows.get(&key).map_or(0, |(version, _)| *version);
         let stored = if self.store_down || self.cut_store.contains(&vm) {
             event::Stored::Unknown
         } else if current != version {
             event::Stored::Conflict
         } else {
-            self.rows.insert(key, (version + 1, row));
+            self.rows.insert(key.clone(), (version + 1, row));
             if self.lose_answers > 0 {
                 self.lose_answers -= 1;
                 event::Stored::Unknown
--- a/components/lab/src/fleet.rs
+++ b/components/lab/src/fleet.rs
@@ -159,7 +159,10 @@
             listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port)),
             peer: any,
             admin: any,
+            domains: std::collections::BTreeMap::new(),
             platform: format!("http://{platform}"),
+            orders: None,
+            dialect: name("postgres")?,
             credentials: config::Credentials {
                 user: credentials.user,
                 password: credentials.password,
--- a/components/lab/src/plan.rs
+++ b/components/lab/src/plan.rs
@@ -151,6 +151,8 @@
             refusal: ms(2000),
             platform: ms(500),
             stop: ms(10_000),
+            drain: ms(5_000),
+            tick: ms(2),
         }
     }
 
--- a/components/peer/schema/peer.capnp
+++ b/components/peer/schema/peer.capnp
@@ -21,6 +21,10 @@
     vms @10 :List(Vm);
     # Nonce of a share that was credited.
     took @11 :UInt64;
+    # Stop using the leader of a group.
+    close @12 :Claim;
+    # The leader is no longer used.
+    closed @13 :Claim;
   }
 }
 
@@ -32,6 +36,21 @@
   heard @4 :List(Heard);
   # The sender has a list of VMs.
   listed @5 :Bool;
+  positions @6 :List(Placed);
+}
+
+# Position of a group's leader, `age` microseconds before the report.
+struct Placed {
+  group @0 :Text;
+  term @1 :UInt64;
+  lsn @2 :UInt64;
+  age @3 :UInt64;
+}
+
+struct Claim {
+  group @0 :Text;
+  token @1 :UInt64;
+  planned @2 :Bool;
 }
 
 struct Heard {
--- a/components/peer/src/codec.rs
+++ b/components/peer/src/codec.rs
@@ -71,6 +71,8 @@
             to.set_group(&**suspicion.group);
             to.set_term(suspicion.term.0);
         }
+        message::Message::Close(claim) => write_claim(claim, to.init_close()),
+        message::Message::Closed(claim) => write_claim(claim, to.init_closed()),
         message::Message::Cancel(process, secret) => {
             let mut to = to.init_cancel();
             to.set_process(*process);
@@ -79,6 +81,20 @@
     }
 }
 
+fn write_claim(claim: &message::Claim, mut to: schema::claim::Builder<'_>) {
+    to.set_group(&**claim.group);
+    to.set_token(claim.token);
+    to.set_planned(claim.planned);
+}
+
+fn read_claim(from: schema::claim::Reader<'_>) -> Outcome<message::Claim> {
+    Ok(message::Claim {
+        group: name(from.get_group()?)?,
+        token: from.get_token(),
+        planned: from.get_planned(),
+    })
+}
+
 fn write_exchange(
     sent: time::Time,
     report: &message::Report,
@@ -89,6 +105,15 @@
     to.set_revision(report.revision);
     to.set_epoch(report.epoch);
     to.set_listed(report.listed);
+    let count = length(report.positions.len());
+    let mut list = to.reborrow().init_positions(count);
+    for (i, placed) in (0..).zip(&report.positions) {
+        let mut to = list.reborrow().get(i);
+        to.set_group(&**placed.group);
+        to.set_term(placed.floor.term.0);
+        to.set_lsn(placed.floor.lsn.0);
+        to.set_age(placed.age);
+    }
     let mut list = to.init_heard(length(report.heard.len()));
     for (i, heard) in (0..).zip(&report.heard) {
         let mut to = list.reborrow().get(i);
@@ -182,6 +207,8 @@
                 term: position::Term(from.get_term()),
             })
         }
+        Which::Close(from) => message::Message::Close(read_claim(from?)?),
+        Which::Closed(from) => message::Message::Closed(read_claim(from?)?),
         Which::Cancel(from) => {
             let from = from?;
             message::Message::Cancel(from.get_process(), from.get_secret())
@@ -208,12 +235,24 @@
             epoch: from.get_epoch(),
         });
     }
+    let mut positions = Vec::new();
+    for from in from.get_positions()?.iter() {
+        positions.push(message::Placed {
+            group: name(from.get_group()?)?,
+            floor: position::Floor {
+                term: position::Term(from.get_term()),
+                lsn: position::Lsn(from.get_lsn()),
+            },
+            age: from.get_age(),
+        });
+    }
     let report = message::Report {
         incarnation: from.get_incarnation(),
         revision: from.get_revision(),
         epoch: from.get_epoch(),
         listed: from.get_listed(),
         heard,
+        positions,
     };
     Ok((time::Time(from.get_sent()), report))
 }
--- a/components/platform/src/http.rs
+++ b/components/store/src/http.rs
@@ -5,7 +5,7 @@
 use kernel::event;
 use serde::{Deserialize, Serialize, de};
 
-use crate::{failure, service};
+use crate::{client, failure, service};
 
 /// Time for one call.
 const TIMEOUT: time::Duration = time::Duration::from_millis(1500);
@@ -31,32 +31,21 @@
 
 /// Client of one service.
 pub struct Http {
-    agent: ureq::Agent,
-    base: String,
+    client: client::Client,
 }
 
 impl Http {
     /// A client for the base URL.
     pub fn new(url: &str) -> Self {
-        let config = ureq::Agent::config_builder()
-            .timeout_global(Some(TIMEOUT))
-            .http_status_as_error(false)
-            .build();
         Self {
-            agent: config.into(),
-            base: url.trim_end_matches('/').into(),
+            client: client::Client::new(url),
         }
     }
 
     fn get<T: de::DeserializeOwned>(&self, path: &str) -> Result<Option<T>, failure::Failure> {
-        let url = format!("{}{path}", self.base);
-        let answer = self.agent.get(&url).call();
-        let mut answer = answer.map_err(|_| failure::Failure::Unavailable)?;
-        match answer.status().as_u16() {
-            200 => {
-                let body = answer.body_mut().with_config().limit(u64::MAX).read_json();
-                body.map(Some).map_err(|_| failure::Failure::Malformed)
-            }
+        let answer = self.client.get(path, TIMEOUT)?;
+        match answer.status {
+            200 => answer.json().map(Some),
             404 => Ok(None),
             _ => Err(failure::Failure::Unavailable),
         }
@@ -64,7 +53,7 @@
 }
 
 impl service::Service for Http {
-    fn load(&self, key: event::RowKey) -> event::Loaded {
+    fn load(&self, key: &event::RowKey) -> event::Loaded {
         let row = self.get::<Versioned<event::Row>>(&format!("/rows/{key}"));
         match row {
             Ok(Some(row)) => event::Loaded::Found(row.version, row.value),
@@ -74,22 +63,17 @@
     }
 
     fn store(&self, version: u64, row: &event::Row) -> event::Stored {
-        let key = match row {
-            event::Row::Head(_) => event::RowKey::Head,
-            event::Row::Epoch(_) => event::RowKey::Epoch,
-        };
-        let url = format!("{}/rows/{key}", self.base);
         let body = Versioned {
             version,
             value: row,
         };
-        let Ok(mut answer) = self.agent.put(&url).send_json(body) else {
+        let path = format!("/rows/{}", row.key());
+        let Ok(answer) = self.client.put(&path, &body, TIMEOUT) else {
             return event::Stored::Unknown;
         };
-        match answer.status().as_u16() {
+        match answer.status {
             200 => answer
-                .body_mut()
-                .read_json::<Written>()
+                .json::<Written>()
                 .map_or(event::Stored::Unknown, |w| {
                     event::Stored::Written(w.version)
                 }),
--- /dev/null
+++ b/components/store/src/lib.rs
@@ -0,0 +1,14 @@
+//! The border to the platform's store.
+//!
+//! [`Service`] keeps rows and lists VMs, [`Watch`] follows a part of the store,
+//! [`Orders`] takes orders for promotions. Plug-ins register themselves by URL
+//! scheme; all use one HTTP [`Client`].
+
+mod client;
+mod failure;
+mod http;
+mod service;
+
+pub use client::{Answer, Client};
+pub use failure::Failure;
+pub use service::{Changes, OrderScheme, Orders, Scheme, Service, Watch, open, open_orders};
--- /dev/null
+++ b/components/store/src/service.rs
@@ -0,0 +1,92 @@
+//! The border to the platform.
+
+use std::time;
+
+use kernel::{event, view};
+
+use crate::failure;
+
+/// What the platform offers.
+pub trait Service: Send + Sync {
+    /// Reads a row.
+    fn load(&self, key: &event::RowKey) -> event::Loaded;
+    /// Writes a row if its version is as given.
+    fn store(&self, version: u64, row: &event::Row) -> event::Stored;
+    /// Removes a row if its version is as given.
+    fn erase(&self, _version: u64, _key: &event::RowKey) -> event::Stored {
+        event::Stored::Unknown
+    }
+    /// Lists the VMs; the list lags.
+    fn list(&self) -> Result<Vec<event::Vm>, failure::Failure> {
+        Ok(Vec::new())
+    }
+    /// Follows a part of the store, if the platform can.
+    fn watch(&self, _part: view::Part) -> Option<Box<dyn Watch>> {
+        None
+    }
+}
+
+/// Follows one part of the store.
+pub trait Watch: Send {
+    /// Waits up to `wait` for changes after the last ones that were returned.
+    fn next(&mut self, wait: time::Duration) -> Result<Changes, failure::Failure>;
+}
+
+/// What has changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Changes {
+    /// The changes are all there is.
+    pub whole: bool,
+    /// Changes in order.
+    pub list: Vec<view::Change>,
+}
+
+/// Orders promotions from the platform.
+pub trait Orders: Send + Sync {
+    /// Orders that an instance takes over, on behalf of a VM.
+    fn order(&self, holder: &str, order: &event::Order) -> event::Ordered;
+}
+
+/// Builds the service for the URLs of one scheme.
+pub struct Scheme {
+    /// Scheme with `://`.
+    pub prefix: &'static str,
+    /// Constructor.
+    pub build: fn(&str) -> Box<dyn Service>,
+}
+
+/// Builds the service for orders for the URLs of one scheme.
+pub struct OrderScheme {
+    /// Scheme with `://`.
+    pub prefix: &'static str,
+    /// Constructor.
+    pub build: fn(&str) -> Box<dyn Orders>,
+}
+
+inventory::collect!(Scheme);
+inventory::collect!(OrderScheme);
+
+/// Opens the service behind a URL.
+pub fn open(url: &str) -> Result<Box<dyn Service>, failure::Failure> {
+    let mut all = inventory::iter::<Scheme>.into_iter();
+    if let Some(scheme) = all.find(|scheme| url.starts_with(scheme.prefix)) {
+        return Ok((scheme.build)(url));
+    }
+    let names = inventory::iter::<Scheme>.into_iter().map(|s| s.prefix);
+    Err(unknown(url, names))
+}
+
+/// Opens the service that takes orders behind a URL.
+pub fn open_orders(url: &str) -> Result<Box<dyn Orders>, failure::Failure> {
+    let mut all = inventory::iter::<OrderScheme>.into_iter();
+    if let Some(scheme) = all.find(|scheme| url.starts_with(scheme.prefix)) {
+        return Ok((scheme.build)(url));
+    }
+    let names = inventory::iter::<OrderScheme>.into_iter().map(|s| s.prefix);
+    Err(unknown(url, names))
+}
+
+fn unknown(url: &str, names: impl Iterator<Item = &'static str>) -> failure::Failure {
+    let names: Vec<_> = names.collect();
+    failure::Failure::UnknownScheme(url.into(), names.join(", "))
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -3,5 +3,5 @@
 mod logger;
 mod metrics;
 
-pub use logger::{Failure, init};
+pub use logger::{Failure, flush, init};
 pub use metrics::{Metrics, Result as Outcome};
--- a/components/telemetry/src/logger.rs
+++ b/components/telemetry/src/logger.rs
@@ -1,11 +1,28 @@
-//! A `simplelog` logger that writes one JSON object a line to standard error.
+//! A `simplelog` logger that writes one JSON object a line to standard output.
+//!
+//! Lines go through a bounded queue to a thread of their own, so that nobody
+//! who logs ever waits for the output. What does not fit is dropped, counted,
+//! and the count is logged.
 
-use std::{io, io::Write, time};
+use std::{
+    io,
+    io::Write,
+    sync::{atomic, mpsc},
+    thread, time,
+};
 
 use derive_more::{Display, Error};
 use log::kv;
 use serde_json::Value;
 
+/// Lines that may wait for the output.
+const QUEUE: usize = 4096;
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(200);
+
+/// Lines that were dropped since the last one that was written.
+static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+
 /// The logger could not be set up.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Failure {
@@ -14,9 +31,15 @@
     Level(#[error(not(source))] String),
 }
 
+enum Item {
+    Line(String),
+    Flush(mpsc::Sender<()>),
+}
+
 struct JsonLogger {
     level: log::LevelFilter,
     config: simplelog::Config,
+    queue: mpsc::SyncSender<Item>,
 }
 
 /// Sets up logging for the process; a second call changes nothing.
@@ -24,14 +47,41 @@
     let level: log::LevelFilter = level
         .parse()
         .map_err(|_| Failure::Level(level.to_string()))?;
+    let (queue, items) = mpsc::sync_channel(QUEUE);
     let logger = Box::new(JsonLogger {
         level,
         config: simplelog::Config::default(),
+        queue,
     });
-    let _ = simplelog::CombinedLogger::init(vec![logger]);
+    if simplelog::CombinedLogger::init(vec![logger]).is_ok() {
+        thread::spawn(move || write(&items));
+    }
     Ok(())
 }
 
+fn write(items: &mpsc::Receiver<Item>) {
+    let mut out = io::stdout().lock();
+    while let Ok(item) = items.recv() {
+        let written = match item {
+            Item::Line(line) => out.write_all(line.as_bytes()),
+            Item::Flush(done) => {
+                let flushed = out.flush();
+                let _ = done.send(());
+                flushed
+            }
+        };
+        // Nobody is left to be told that the output is gone.
+        if written.is_err() {
+            DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    }
+}
+
+/// Waits a short time until everything logged so far is written.
+pub fn flush() {
+    log::logger().flush();
+}
+
 struct Fields<'a>(&'a mut serde_json::Map<String, Value>);
 
 impl<'kvs> kv::VisitSource<'kvs> for Fields<'_> {
@@ -62,12 +112,23 @@
         line.insert("target".into(), record.target().into());
         line.insert("message".into(), record.args().to_string().into());
         let _ = record.key_values().visit(&mut Fields(&mut line));
+        let dropped = DROPPED.swap(0, atomic::Ordering::Relaxed);
+        if dropped > 0 {
+            line.insert("dropped".into(), dropped.into());
+        }
         let mut text = Value::Object(line).to_string();
         text.push('\n');
-        let _ = io::stderr().lock().write_all(text.as_bytes());
+        if self.queue.try_send(Item::Line(text)).is_err() {
+            DROPPED.fetch_add(dropped + 1, atomic::Ordering::Relaxed);
+        }
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (done, flushed) = mpsc::channel();
+        if self.queue.try_send(Item::Flush(done)).is_ok() {
+            let _ = flushed.recv_timeout(FLUSH_LIMIT);
+        }
+    }
 }
 
 impl simplelog::SharedLogger for JsonLogger {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -7,20 +7,38 @@
 
 /// Runs a daemon until a signal asks for its end.
 pub fn run(matches: &clap::ArgMatches) -> cmd::Outcome {
+    platform::register();
     let (text, origin) = cmd::read(cmd::text(matches, "file"))?;
     let settings = config::read_settings(&text, &origin).map_err(cmd::invalid)?;
     let fail = |failure| Report::new(failure::Failure::Log(failure));
     telemetry::init(&settings.level).map_err(fail)?;
-    let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])
+    let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT, consts::SIGHUP])
         .map_err(|_| Report::new(failure::Failure::Signals))?;
     let vm = settings.vm.clone();
     let running = daemon::Running::start(settings)
         .map_err(|failure| Report::new(failure::Failure::Daemon(failure)))?;
     let (listen, peer, admin) = (running.listen(), running.peer(), running.admin());
     log::info!(vm = &**vm, listen:% = listen, peer:% = peer, admin:% = admin; "listening");
-    signals.forever().next();
+    for signal in signals.forever() {
+        if signal != consts::SIGHUP {
+            break;
+        }
+        reload(matches, &vm);
+    }
     log::info!(vm = &**vm; "stopping");
     running.stop();
     log::info!(vm = &**vm; "stopped");
+    telemetry::flush();
     Ok(())
 }
+
+/// Reads the settings again and tells whether they are valid; addresses, limits
+/// and plug-ins keep their values until the next start.
+fn reload(matches: &clap::ArgMatches, vm: &str) {
+    let read = cmd::read(cmd::text(matches, "file"))
+        .and_then(|(text, origin)| config::read_settings(&text, &origin).map_err(cmd::invalid));
+    match read {
+        Ok(_) => log::info!(vm; "settings read again"),
+        Err(report) => log::error!(vm; "settings cannot be read again: {report}"),
+    }
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -39,10 +39,10 @@
     let mut child = process::Command::new(env!("CARGO_BIN_EXE_ebonygauge"))
         .arg("serve")
         .arg(&file)
-        .stderr(process::Stdio::piped())
+        .stdout(process::Stdio::piped())
         .spawn()
         .expect("the daemon starts");
-    let output = child.stderr.take().expect("standard error is piped");
+    let output = child.stdout.take().expect("standard output is piped");
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || {
         for line in io::BufReader::new(output).lines().map_while(Result::ok) {
