--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -10,9 +10,12 @@
 
 use crate::{admin, clock, dialogue, failure, session, shell, table, tls};
 
-/// Part of a view's validity for which a watch may wait, so that a view is
-/// proved again well before it ends.
-const WATCH_PARTS: u32 = 4;
+/// Part of the validity of leaders for which a watch of the rows may wait, so
+/// that they are proved again well before it ends.
+const ROWS_WATCH_PARTS: u32 = 3;
+/// Part of the validity of keys for which a watch of the configuration may
+/// wait, with time for a call that fails.
+const CONFIGURATION_WATCH_PARTS: u32 = 2;
 /// Time for the last calls to the platform at a stop.
 const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(500);
 /// Stack of a session's thread, in bytes.
@@ -124,9 +127,12 @@
             return table::list(&self.shell, service.clone());
         }
         let waits = [
-            (view::Part::Rows, timing.lease / WATCH_PARTS),
-            (view::Part::Configuration, timing.refusal / WATCH_PARTS),
-            (view::Part::Instances, timing.refusal / WATCH_PARTS),
+            (view::Part::Rows, timing.lease / ROWS_WATCH_PARTS),
+            (
+                view::Part::Configuration,
+                timing.refusal / CONFIGURATION_WATCH_PARTS,
+            ),
+            (view::Part::Instances, timing.refusal),
         ];
         for (part, wait) in waits {
             table::watch(&self.shell, service.as_ref(), part, wait);
--- a/components/daemon/src/dialogue.rs
+++ b/components/daemon/src/dialogue.rs
@@ -9,7 +9,7 @@
 
 use config::Name;
 use errors::{Cause, Refusal};
-use kernel::{event, position};
+use kernel::{event, group, position};
 
 use crate::{links, shell};
 
@@ -32,8 +32,9 @@
 }
 
 /// A transaction of the caller.
-#[derive(Default)]
 struct Transaction {
+    /// The caller's BEGIN.
+    begin: dialect::Call,
     reads: bool,
     held: Option<Held>,
     wrote: bool,
@@ -82,7 +83,7 @@
     if shell.count_sessions() >= limits.sessions {
         return caller.reject(&Refusal::new(Cause::NoCapacity, 1000));
     }
-    let handle = sync::Arc::new(shell::Handle::new(Some(control), 0));
+    let handle = sync::Arc::new(shell::Handle::answering(control));
     let id = shell.open(handle.clone());
     shell.drive(event::Event::Opened(event::Opening {
         session: id,
@@ -104,7 +105,7 @@
                 prepared: collections::HashMap::new(),
                 transaction: None,
             };
-            let result = dialogue.run(links);
+            let result = dialogue.converse(links);
             dialogue.abandon(links);
             result
         }
@@ -119,10 +120,11 @@
 }
 
 impl Dialogue {
-    fn run(&mut self, links: &links::Links) -> Result<(), dialect::Failure> {
+    fn converse(&mut self, links: &links::Links) -> Result<(), dialect::Failure> {
         self.caller.welcome()?;
         loop {
-            if self.handle.rest(self.transaction.is_none()).is_some() {
+            let idle = self.transaction.is_none();
+            if self.handle.rest(idle).is_some() && idle {
                 return Ok(());
             }
             match self.caller.read(self.idle_limit()) {
@@ -130,12 +132,10 @@
                 Ok(dialect::Input::Unknown) => {
                     self.refuse(None, &Refusal::new(Cause::Protocol, 0))?;
                 }
-                Ok(dialect::Input::Call(call)) => {
-                    if self.handle.rest(false).is_some() {
-                        return Ok(());
-                    }
-                    self.answer(links, &call)?;
-                }
+                Ok(dialect::Input::Call(call)) => match self.handle.rest(false) {
+                    Some(refusal) => self.dismiss(links, &call, &refusal)?,
+                    None => self.answer(links, &call)?,
+                },
                 Err(dialect::Failure::Idle) => self.expire(links),
                 Err(dialect::Failure::Malformed) => {
                     self.refuse(None, &Refusal::new(Cause::Protocol, 0))?;
@@ -146,6 +146,23 @@
         }
     }
 
+    /// Answers the first call after the session has lost its right to go on.
+    fn dismiss(
+        &mut self,
+        links: &links::Links,
+        call: &dialect::Call,
+        refusal: &Refusal,
+    ) -> Result<(), dialect::Failure> {
+        match &call.statement {
+            dialect::Statement::Rollback => self.rollback(links, call, None),
+            _ if self.transaction.is_some() => {
+                self.abandon(links);
+                self.refuse(Some(call), &Refusal::new(Cause::TransactionLost, 0))
+            }
+            _ => self.refuse(Some(call), refusal),
+        }
+    }
+
     /// Time for which the caller may pause in a transaction.
     fn idle_limit(&self) -> Option<std_time::Duration> {
         let open = self.transaction.as_ref().is_some_and(|t| !t.failed);
@@ -165,7 +182,7 @@
         transaction.failed = true;
         transaction.untold = Some(Refusal::new(Cause::IdleTransaction, 0));
         if let Some(held) = transaction.held.take() {
-            self.roll_back(links, held);
+            self.roll_back(links, held, None);
         }
     }
 
@@ -207,17 +224,17 @@
     ) -> Result<(), dialect::Failure> {
         if let Some(transaction) = self.transaction.as_mut().filter(|t| t.failed) {
             return match (&call.statement, transaction.untold.take()) {
-                (dialect::Statement::Rollback, _) => self.end_failed(links, None),
+                (dialect::Statement::Rollback, _) => self.rollback(links, call, None),
                 (dialect::Statement::Commit, untold) => {
-                    let lost = Refusal::new(Cause::TransactionLost, 0);
-                    self.end_failed(links, Some((call, untold.unwrap_or(lost))))
+                    let lost = untold.unwrap_or(Refusal::new(Cause::TransactionLost, 0));
+                    self.rollback(links, call, Some(lost))
                 }
                 (_, Some(refusal)) => self.refuse(Some(call), &refusal),
                 (_, None) => self.refuse(None, &Refusal::new(Cause::Protocol, 0)),
             };
         }
         let (run, writes) = match &call.statement {
-            dialect::Statement::Begin { reads } => return self.begin(*reads),
+            dialect::Statement::Begin { reads } => return self.begin(call, *reads),
             dialect::Statement::Set { name, value } => {
                 self.values.insert(name.clone(), value.clone());
                 return self.caller.complete(self.state());
@@ -230,7 +247,7 @@
                 self.prepared.remove(name);
                 return self.caller.complete(self.state());
             }
-            dialect::Statement::Rollback => return self.rollback(links),
+            dialect::Statement::Rollback => return self.rollback(links, call, None),
             dialect::Statement::Commit if self.transaction.is_none() => {
                 return self.refuse(None, &Refusal::new(Cause::Protocol, 0));
             }
@@ -257,41 +274,40 @@
         self.execute(links, &Need { call, run, writes })
     }
 
-    /// Ends a transaction that has failed.
-    fn end_failed(
+    /// Ends a transaction without its writes; the caller does not wait for the
+    /// instance.
+    fn rollback(
         &mut self,
         links: &links::Links,
-        refused: Option<(&dialect::Call, Refusal)>,
+        call: &dialect::Call,
+        refusal: Option<Refusal>,
     ) -> Result<(), dialect::Failure> {
-        let held = self
-            .transaction
-            .take()
-            .and_then(|transaction| transaction.held);
-        let answered = match refused {
-            Some((call, refusal)) => self.refuse(Some(call), &refusal),
+        let ended = self.transaction.take();
+        let answered = match &refusal {
+            Some(refusal) => self.refuse(Some(call), refusal),
             None => self.caller.complete(dialect::State::Idle),
         };
-        if let Some(held) = held {
-            self.roll_back(links, held);
+        if let Some(held) = ended.and_then(|transaction| transaction.held) {
+            self.roll_back(links, held, Some(call).filter(|_| refusal.is_none()));
         }
         answered
     }
 
-    fn begin(&mut self, reads: bool) -> Result<(), dialect::Failure> {
+    fn begin(&mut self, call: &dialect::Call, reads: bool) -> Result<(), dialect::Failure> {
         if self.transaction.is_some() {
             return self.refuse(None, &Refusal::new(Cause::Protocol, 0));
         }
         self.transaction = Some(Transaction {
+            begin: call.clone(),
             reads,
-            ..Transaction::default()
+            held: None,
+            wrote: false,
+            failed: false,
+            untold: None,
         });
         self.caller.complete(dialect::State::Open)
     }
 
-    fn rollback(&mut self, links: &links::Links) -> Result<(), dialect::Failure> {
-        self.end_failed(links, None)
-    }
-
     fn execute(&mut self, links: &links::Links, need: &Need<'_>) -> Result<(), dialect::Failure> {
         if self.transaction.is_some() {
             self.run_inside(links, need)
@@ -339,7 +355,7 @@
             };
             retry = true;
             let sent = self.shell.clock.now();
-            match held.link.run(&need.run, held.floor, limit) {
+            match self.run(&mut held, &need.run, limit) {
                 Ok(reply) => {
                     self.observe(&held, sent, &reply);
                     match self.retry_outcome(&held, &reply) {
@@ -350,7 +366,7 @@
                         None => return self.finish(links, need, held, &reply, begun),
                     }
                 }
-                Err(dialect::Lost::Unsent | dialect::Lost::Rejected) => {
+                Err(dialect::Lost::Unsent | dialect::Lost::Rejected(_)) => {
                     self.discard(links, held, event::Outcome::Unsent);
                 }
                 Err(failure) => {
@@ -460,11 +476,9 @@
             return self.fail(Some(need.call), &Refusal::new(Cause::TransactionLost, 0));
         };
         let sent = self.shell.clock.now();
-        let run = held
-            .link
-            .adapt(&self.values, limit)
-            .and_then(|()| held.link.run(&need.run, None, limit));
-        match run {
+        held.floor = None;
+        let adapted = held.link.adapt(&self.values, limit);
+        match adapted.and_then(|()| self.run(&mut held, &need.run, limit)) {
             Ok(reply) => {
                 self.observe(&held, sent, &reply);
                 if let Some(transaction) = &mut self.transaction {
@@ -507,7 +521,7 @@
             let stale = Refusal::new(Cause::TransactionLost, UNREACHABLE_RETRY_MS);
             return if fresh { Ok(()) } else { Err(stale) };
         }
-        let reads = transaction.reads;
+        let (begin, reads) = (transaction.begin.clone(), transaction.reads);
         let access = if reads {
             event::Access::Read
         } else {
@@ -520,7 +534,10 @@
             let mut held = self.obtain(links, access, retry, deadline)?;
             retry = true;
             let sent = self.shell.clock.now();
-            match held.link.begin(reads, held.floor, limit) {
+            match held
+                .link
+                .run(&dialect::Run::Plain(&begin), held.floor, limit)
+            {
                 Ok(reply) if reply.state == dialect::State::Open => {
                     self.observe(&held, sent, &reply);
                     if let Some(transaction) = &mut self.transaction {
@@ -551,7 +568,7 @@
         if let Err(refusal) = self.ensure_begun(links) {
             let held = self.transaction.take().and_then(|t| t.held);
             if let Some(held) = held {
-                self.roll_back(links, held);
+                self.roll_back(links, held, None);
             }
             return self.refuse(Some(call), &refusal);
         }
@@ -566,7 +583,8 @@
             return self.refuse(Some(call), &Refusal::new(Cause::TransactionLost, 0));
         };
         let sent = self.shell.clock.now();
-        match held.link.run(&dialect::Run::Plain(call), None, limit) {
+        held.floor = None;
+        match self.run(&mut held, &dialect::Run::Plain(call), limit) {
             Ok(reply) => {
                 self.observe(&held, sent, &reply);
                 let need = Need {
@@ -614,26 +632,30 @@
                 shell::Reply::Refuse(refusal) => return Err(refusal),
                 _ => return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS)),
             };
-            let link = if self.shell.clock.now() < grant.until {
-                self.connect(links, &grant, deadline)
+            let outcome = if self.shell.clock.now() >= grant.until {
+                event::Outcome::Clean
             } else {
-                None
+                match self.connect(links, &grant, deadline) {
+                    Ok(link) => {
+                        return Ok(Held {
+                            link,
+                            request,
+                            instance: grant.instance,
+                            primary: grant.primary,
+                            floor: grant.floor,
+                        });
+                    }
+                    Err(dialect::Lost::Rejected(
+                        dialect::Reason::Crowded | dialect::Reason::Busy,
+                    )) => event::Outcome::Crowded,
+                    Err(_) => event::Outcome::Unsent,
+                }
             };
-            if let Some(link) = link {
-                return Ok(Held {
-                    link,
-                    request,
-                    instance: grant.instance,
-                    primary: grant.primary,
-                    floor: grant.floor,
-                });
-            }
-            self.release(request, event::Outcome::Unsent);
+            self.release(request, outcome);
             retry = true;
             if std_time::Instant::now() >= deadline {
                 return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
             }
-            thread::sleep(RETRY_PAUSE);
         }
     }
 
@@ -642,12 +664,15 @@
         links: &links::Links,
         grant: &event::Grant,
         deadline: std_time::Instant,
-    ) -> Option<Box<dyn dialect::Link>> {
+    ) -> Result<Box<dyn dialect::Link>, dialect::Lost> {
         let fleet = self.shell.fleet();
-        let group = &fleet.routes.get(self.route.as_str())?.group;
-        let address = self.shell.instance_address(&grant.instance)?;
+        let route = fleet.routes.get(self.route.as_str());
+        let address = self.shell.instance_address(&grant.instance);
+        let (Some(route), Some(address)) = (route, address) else {
+            return Err(dialect::Lost::Unsent);
+        };
         let purpose = links::Purpose {
-            group,
+            group: &route.group,
             instance: &grant.instance,
             address,
             customer: self.customer.as_ref(),
@@ -659,7 +684,26 @@
             log::info!(target: "request", instance = &**grant.instance, lost:%; "no connection");
             links.clear(&grant.instance);
         }
-        taken.ok()
+        taken
+    }
+
+    /// Runs a statement, and tells the kernel of an instance that is slow to
+    /// answer.
+    fn run(
+        &self,
+        held: &mut Held,
+        run: &dialect::Run<'_>,
+        limit: std_time::Duration,
+    ) -> Result<dialect::Reply, dialect::Lost> {
+        let patience = limit.min(group::DELAY);
+        match held.link.run(run, held.floor, patience) {
+            Err(dialect::Lost::Late) if patience < limit => {
+                let instance = held.instance.clone();
+                self.shell.drive(event::Event::Delayed(instance));
+                held.link.wait(limit - patience)
+            }
+            result => result,
+        }
     }
 
     /// Tells the kernel which position an instance has reached.
@@ -697,19 +741,31 @@
         self.release(held.request, outcome);
     }
 
-    /// Rolls a transaction back at its instance.
-    fn roll_back(&self, links: &links::Links, mut held: Held) {
+    /// Rolls a transaction back at its instance, by the caller's statement if
+    /// there is one.
+    fn roll_back(&self, links: &links::Links, mut held: Held, call: Option<&dialect::Call>) {
         let (limit, _) = self.limits();
-        match held.link.rollback(limit) {
+        let rolled_back = match call {
+            Some(call) => {
+                let run = dialect::Run::Plain(call);
+                held.link.run(&run, None, limit).map(|_| ())
+            }
+            None => held.link.rollback(limit),
+        };
+        match rolled_back {
             Ok(()) => self.give_back(links, held, event::Outcome::Clean),
-            Err(_) => self.discard(links, held, event::Outcome::Broken),
+            Err(lost) => {
+                log::info!(target: "request", instance = &**held.instance, lost:%;
+                    "connection lost in a rollback");
+                self.discard(links, held, event::Outcome::Broken);
+            }
         }
     }
 
     /// Rolls back what the caller leaves behind.
     fn abandon(&mut self, links: &links::Links) {
         if let Some(held) = self.transaction.take().and_then(|t| t.held) {
-            self.roll_back(links, held);
+            self.roll_back(links, held, None);
         }
     }
 }
--- a/components/daemon/src/links.rs
+++ b/components/daemon/src/links.rs
@@ -20,6 +20,17 @@
     used: sync::Mutex<collections::HashMap<Name, Broken>>,
 }
 
+/// Why an instance could not be asked.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+pub enum Unasked {
+    /// All connections that this VM may hold are in use.
+    #[display("all connections are in use")]
+    Full,
+    /// The connection was lost.
+    #[display("{_0}")]
+    Lost(dialect::Lost),
+}
+
 /// For whom a connection is needed.
 pub struct Purpose<'a> {
     /// Group of the instance.
@@ -158,7 +169,7 @@
         address: net::SocketAddr,
         limit: time::Duration,
         call: monitor::Call,
-    ) -> Result<dialect::Standing, dialect::Lost> {
+    ) -> Result<dialect::Standing, Unasked> {
         let values = dialect::Values::new();
         let purpose = Purpose {
             group,
@@ -167,10 +178,14 @@
             customer: None,
             values: &values,
         };
-        let idle = self.pool.take(instance, OWN_USER, &|_| 0);
-        let link = match idle {
-            Some(link) => Ok(link),
-            None => self.connect(&purpose, OWN_USER, limit),
+        // A status can be asked for over a connection of any customer.
+        let (login, link) = match self.pool.take_any(instance) {
+            Err(pool::Full) => return Err(Unasked::Full),
+            Ok(Some((login, link))) => (login, Ok(link)),
+            Ok(None) => (
+                OWN_USER.to_string(),
+                self.connect(&purpose, OWN_USER, limit),
+            ),
         };
         let asked = link.and_then(|mut link| {
             let standing = match call {
@@ -182,12 +197,12 @@
         });
         match asked {
             Ok((standing, link)) => {
-                self.pool.put(instance, OWN_USER, link);
+                self.pool.put(instance, &login, link);
                 Ok(standing)
             }
             Err(lost) => {
                 self.pool.drop_used(instance);
-                Err(lost)
+                Err(Unasked::Lost(lost))
             }
         }
     }
--- a/components/daemon/src/monitor.rs
+++ b/components/daemon/src/monitor.rs
@@ -80,18 +80,30 @@
 ) {
     let sent = shell.clock.now();
     let standing = links.ask(group, instance, address, TIMEOUT, call);
+    let is_poll = matches!(call, Call::Poll);
     let mut status = None;
     match standing {
         Ok(dialect::Standing::Status(told)) => status = Some(told),
-        Ok(dialect::Standing::Busy(Some(applied))) => {
-            shell.drive(event::Event::Observed(event::Observation {
-                instance: instance.clone(),
-                sent,
-                applied,
-            }));
+        Ok(dialect::Standing::Busy(applied)) => {
+            if let Some(applied) = applied {
+                shell.drive(event::Event::Observed(event::Observation {
+                    instance: instance.clone(),
+                    sent,
+                    applied,
+                }));
+            }
+            if is_poll {
+                return shell.drive(event::Event::Unpolled(instance.clone(), true));
+            }
+        }
+        Err(links::Unasked::Full) if is_poll => {
+            // The statements under way show whether it lives.
+            return shell.drive(event::Event::Unpolled(instance.clone(), false));
+        }
+        Err(links::Unasked::Lost(dialect::Lost::Rejected(dialect::Reason::Crowded))) if is_poll => {
+            return shell.drive(event::Event::Unpolled(instance.clone(), true));
         }
-        Ok(dialect::Standing::Busy(None)) => {}
-        Err(lost) => log::debug!(instance = &***instance, lost:%; "no status"),
+        Err(unasked) => log::debug!(instance = &***instance, unasked:%; "no status"),
     }
     let instance = instance.clone();
     shell.drive(match call {
--- a/components/daemon/src/pool.rs
+++ b/components/daemon/src/pool.rs
@@ -17,6 +17,10 @@
     fn is_reusable(&self) -> bool;
 }
 
+/// All connections to an instance are in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
 struct Shelf<C> {
     idle: Vec<(String, C)>,
     used: usize,
@@ -74,6 +78,24 @@
         None
     }
 
+    /// Takes an idle connection of any login for a short call; none if a new one
+    /// must be opened, and an error if there is no room for one.
+    pub fn take_any(&self, instance: &Name) -> Result<Option<(String, C)>, Full> {
+        let mut shelves = shell::lock(&self.shelves);
+        let shelf = shelves.entry(instance.clone()).or_default();
+        while let Some((login, connection)) = shelf.idle.pop() {
+            if connection.is_usable() {
+                shelf.used += 1;
+                return Ok(Some((login, connection)));
+            }
+        }
+        if shelf.used >= shelf.limit.max(1) {
+            return Err(Full);
+        }
+        shelf.used += 1;
+        Ok(None)
+    }
+
     /// Puts a connection back, or closes it if it is over the limit.
     pub fn put(&self, instance: &Name, login: &str, connection: C) {
         let mut shelves = shell::lock(&self.shelves);
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -55,6 +55,8 @@
     arrived: sync::Condvar,
     ending: sync::Mutex<Ending>,
     socket: Option<net::TcpStream>,
+    /// The session answers its caller's next statement before it ends.
+    answers: bool,
     /// Secret of its cancel key.
     pub secret: i32,
     /// Statement in flight.
@@ -69,11 +71,21 @@
             arrived: sync::Condvar::new(),
             ending: sync::Mutex::default(),
             socket,
+            answers: false,
             secret,
             target: sync::Mutex::default(),
         }
     }
 
+    /// A handle of a session that answers its caller's next statement before
+    /// it ends, and has no cancel key.
+    pub fn answering(socket: net::TcpStream) -> Self {
+        Self {
+            answers: true,
+            ..Self::new(Some(socket), 0)
+        }
+    }
+
     fn push(&self, reply: Reply) {
         lock(&self.replies).push_back(reply);
         self.arrived.notify_one();
@@ -95,7 +107,7 @@
     fn end(&self, refusal: Refusal) {
         let mut ending = lock(&self.ending);
         ending.refusal.get_or_insert(refusal);
-        let at_once = ending.idle || refusal.cause != Cause::Stopping;
+        let at_once = ending.idle || (!self.answers && refusal.cause != Cause::Stopping);
         if let Some(socket) = self.socket.as_ref().filter(|_| at_once) {
             let _ = socket.shutdown(net::Shutdown::Read);
         }
--- a/components/daemon/src/table.rs
+++ b/components/daemon/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, sync::mpsc, thread, time};
 
-use kernel::{event, view};
+use kernel::{event, proof, view};
 
 use crate::shell;
 
@@ -126,9 +126,11 @@
     let clock = shell.clock;
     thread::spawn(move || {
         let mut failures = 0;
+        let mut store = proof::StoreClock::default();
         loop {
             let sent = clock.now();
             let found = watch.next(wait);
+            let received = clock.now();
             let Some(shell) = weak.upgrade().filter(|shell| !shell.is_halted()) else {
                 return;
             };
@@ -140,7 +142,7 @@
                     failures = 0;
                     shell.drive(event::Event::Watched(view::Update {
                         part,
-                        sent,
+                        proved: store.prove(sent, received, changes.clock),
                         whole: changes.whole,
                         changes: changes.list,
                     }));
--- a/components/dialect/src/failure.rs
+++ b/components/dialect/src/failure.rs
@@ -4,6 +4,8 @@
 
 use derive_more::{Display, Error};
 
+use crate::reply;
+
 /// Why a caller's session cannot go on.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Failure {
@@ -38,8 +40,8 @@
     #[display("no connection")]
     Unsent,
     /// The instance turned the connection away.
-    #[display("the instance turned the connection away")]
-    Rejected,
+    #[display("the instance turned the connection away: {_0}")]
+    Rejected(#[error(not(source))] reply::Reason),
     /// The connection broke after something was sent.
     #[display("the connection broke")]
     Broken,
--- a/components/dialect/src/plugin.rs
+++ b/components/dialect/src/plugin.rs
@@ -35,22 +35,18 @@
     fn distance(&self, values: &call::Values) -> usize;
     /// Gives it the session values, and no others.
     fn adapt(&mut self, values: &call::Values, limit: time::Duration) -> Result<(), failure::Lost>;
-    /// Begins a transaction, on a replica above a floor.
-    fn begin(
-        &mut self,
-        reads: bool,
-        floor: Option<position::Floor>,
-        limit: time::Duration,
-    ) -> Result<reply::Reply, failure::Lost>;
     /// Rolls a transaction back.
     fn rollback(&mut self, limit: time::Duration) -> Result<(), failure::Lost>;
-    /// Runs a statement, on a replica above a floor.
+    /// Runs a statement, on a replica above a floor. After `Lost::Late` the
+    /// answer may still be waited for.
     fn run(
         &mut self,
         run: &call::Run<'_>,
         floor: Option<position::Floor>,
         limit: time::Duration,
     ) -> Result<reply::Reply, failure::Lost>;
+    /// Waits on for the answer to a statement that was late.
+    fn wait(&mut self, limit: time::Duration) -> Result<reply::Reply, failure::Lost>;
     /// Asks for its status.
     fn status(&mut self, limit: time::Duration) -> Result<reply::Standing, failure::Lost>;
     /// Asks a replica to stop receiving until the term.
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -26,6 +26,10 @@
 const RELEASE_PERIOD: std_time::Duration = std_time::Duration::from_secs(2);
 /// Shortest time between two rounds of asks for a budget.
 const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(20);
+/// Longest time between two rounds of asks while none is answered.
+const ASK_PERIOD_LIMIT: std_time::Duration = std_time::Duration::from_millis(640);
+/// Rounds without an answer after which peers of other regions are asked too.
+const NEAR_ROUNDS: u32 = 2;
 /// Time for a taker to confirm what it was given.
 const GIVE_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
 /// Rounds of asks without an answer after which none is expected.
@@ -198,6 +202,11 @@
         self.grown
     }
 
+    /// Whether this run is a member of the epoch.
+    pub fn is_joined(&self) -> bool {
+        self.joined
+    }
+
     /// Shrinks to the part of a newer epoch; returns whether it was newer.
     pub fn adopt(&mut self, epoch: &event::Epoch, now: time::Time) -> bool {
         if epoch.number <= self.epoch.number {
@@ -371,8 +380,9 @@
         }
     }
 
-    /// Asks to send now, each to one of the peers in turn.
-    pub fn asks(&mut self, peers: &[Name], now: time::Time) -> Vec<(Name, Ask)> {
+    /// Asks to send now, each to one of the peers in turn; mostly to those that
+    /// are near.
+    pub fn asks(&mut self, peers: &[Name], near: &[Name], now: time::Time) -> Vec<(Name, Ask)> {
         let mut out = Vec::new();
         if peers.is_empty() || !self.grown || self.closing {
             return out;
@@ -388,14 +398,12 @@
                 part.barren = 0;
                 continue;
             }
-            let pause = if part.barren < BARREN_ROUNDS {
-                ASK_PERIOD
-            } else {
-                BARREN_PERIOD / 5
-            };
-            if now.since(part.asked) < pause {
+            let pause = ASK_PERIOD * (1 << (part.barren / 2).min(5));
+            if now.since(part.asked) < pause.min(ASK_PERIOD_LIMIT) {
                 continue;
             }
+            let far = part.barren % (NEAR_ROUNDS + 1) == NEAR_ROUNDS;
+            let peers = if near.is_empty() || far { peers } else { near };
             part.asked = now;
             part.barren += 1;
             for _ in 0..ASK_FANOUT.min(peers.len()) {
--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -13,14 +13,24 @@
         if let Some(busy) = self.busy.get_mut(&granted.instance) {
             *busy = busy.saturating_sub(1);
         }
+        self.keep_warm(&granted, outcome);
         let group = granted.group.clone();
         let ruled = self.arbiter == group::Arbiter::Store;
         if let Some(pool) = self.pools.get_mut(&group).filter(|_| ruled) {
+            if matches!(outcome, event::Outcome::Unsent | event::Outcome::Crowded) {
+                pool.group.failed(&granted.instance, self.now);
+            }
+            if outcome == event::Outcome::Crowded {
+                pool.group.lives(&granted.instance);
+            }
             match outcome {
                 event::Outcome::Behind(floor) => {
                     pool.group.lacked(self.now, &granted.instance, floor);
                 }
-                event::Outcome::Broken | event::Outcome::Unsent | event::Outcome::ReadOnly => {
+                event::Outcome::Broken | event::Outcome::Unsent | event::Outcome::ReadOnly
+                    if pool.group.primary() == Some(&granted.instance) =>
+                {
+                    pool.group.trouble(self.now);
                     pool.group.want(self.now);
                 }
                 _ => {}
@@ -46,6 +56,25 @@
         self.finish_stop();
     }
 
+    /// Follows what the driver does with the connection of a request.
+    fn keep_warm(&mut self, granted: &sessions::Granted, outcome: event::Outcome) {
+        let instance = &granted.instance;
+        let closed = [
+            event::Outcome::Broken,
+            event::Outcome::Unsent,
+            event::Outcome::Crowded,
+        ];
+        if closed.contains(&outcome) {
+            return self.warm.clear(instance);
+        }
+        let session = self.sessions.open.get(&granted.session);
+        if let Some(customer) = session.map(|session| session.customer.clone()) {
+            let busy = self.busy.get(instance).copied().unwrap_or(0);
+            let units = self.units(instance);
+            self.warm.put(instance, customer, busy, units);
+        }
+    }
+
     /// Acknowledges the commits that are durable under a confirmation, and
     /// gives up those that can no longer be.
     pub(crate) fn settle(&mut self, group: &Name) {
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -1,10 +1,19 @@
 //! What follows from a new configuration.
 
-use config::Fleet;
+use std::time as std_time;
+
+use config::{Fleet, Name};
 use errors::{Cause, Refusal};
 
 use crate::{budget, daemon, event, group, handover, journal, promotion};
 
+/// Round-trip time within a failure domain.
+const NEAR_RTT: std_time::Duration = std_time::Duration::from_micros(200);
+/// Round-trip time between failure domains of one region.
+const REGION_RTT: std_time::Duration = std_time::Duration::from_micros(1_800);
+/// Round-trip time between regions, as the users state it.
+const FAR_RTT: std_time::Duration = std_time::Duration::from_millis(40);
+
 impl daemon::Daemon {
     /// Brings everything in line with the configuration in force.
     pub(crate) fn configure(&mut self, source: journal::Origin) {
@@ -44,13 +53,16 @@
                 let total = u64::from(instance.connections);
                 self.budgets.configure(scarce, total, limit, self.now);
             }
+            let distances = self.distances(config);
             if let Some(pool) = self.pools.get_mut(name) {
                 pool.group.configure(config, self.now);
+                pool.group.place(&distances);
                 continue;
             }
             let (lease, poll) = (timing.lease, timing.poll);
-            let group =
+            let mut group =
                 group::Group::new(name.clone(), config, lease, poll, self.arbiter, self.now);
+            group.place(&distances);
             let pool = daemon::Pool {
                 group,
                 promotion: promotion::Promotion::default(),
@@ -64,6 +76,22 @@
         self.remove_groups(fleet);
     }
 
+    /// Least round-trip time to each instance, where the regions are known.
+    fn distances(&self, config: &config::Group) -> Vec<(Name, std_time::Duration)> {
+        let known = config.instances.iter().filter_map(|instance| {
+            let region = self.setup.domains.get(&instance.domain)?;
+            let distance = if instance.domain == self.setup.domain {
+                NEAR_RTT
+            } else if *region == self.setup.region {
+                REGION_RTT
+            } else {
+                FAR_RTT
+            };
+            Some((instance.name.clone(), distance))
+        });
+        known.collect()
+    }
+
     pub(crate) fn remove_groups(&mut self, fleet: &Fleet) {
         let gone: Vec<_> = self
             .pools
@@ -94,7 +122,9 @@
 
     pub(crate) fn resize_one(&mut self, scarce: &budget::Scarce) {
         if let budget::Scarce::Connections(instance) = scarce {
-            let units = u32::try_from(self.budgets.units(scarce)).unwrap_or(u32::MAX);
+            let units = self.units(instance);
+            let busy = self.busy.get(instance).copied().unwrap_or(0);
+            self.warm.resize(instance, busy, units);
             let action = event::Action::Resize(instance.clone(), units);
             self.out.push(action);
         }
--- a/components/kernel/src/consistency.rs
+++ b/components/kernel/src/consistency.rs
@@ -10,6 +10,10 @@
 /// Cost of a busy connection against round-trip time, in microseconds.
 const BUSY_COST_US: u64 = 500;
 
+/// Cost of a new connection, in microseconds: the time that the users' instances
+/// take for one.
+const COLD_COST_US: u64 = 12_000;
+
 /// An instance that could serve a read.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -25,11 +29,14 @@
     pub busy: u32,
     /// Average round-trip time, in microseconds.
     pub rtt: u64,
+    /// A connection waits for the customer, or one can be used by all.
+    pub warm: bool,
 }
 
 impl Candidate {
     fn cost(&self) -> u64 {
-        self.rtt + u64::from(self.busy) * BUSY_COST_US
+        let cold = if self.warm { 0 } else { COLD_COST_US };
+        self.rtt + u64::from(self.busy) * BUSY_COST_US + cold
     }
 }
 
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -8,6 +8,11 @@
 
 /// Shortest time between two budget epochs.
 const EPOCH_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time in which VMs that start together register with the store.
+const RULED_EPOCH_PAUSE: std_time::Duration = std_time::Duration::from_millis(250);
+/// VMs up to which each confirms an epoch to all others; beyond, the exchange
+/// with peers carries it.
+const DIRECT_MEMBERS: usize = 16;
 /// Shortest time between two epochs that only return lost shares.
 const LEAK_PAUSE: std_time::Duration = std_time::Duration::from_secs(3);
 /// Time that a VM lets each VM before it propose the next epoch.
@@ -148,6 +153,7 @@
 
     fn pinged(&mut self, from: &Name, sent: time::Time, report: &message::Report) {
         self.members.pinged(from, self.now, report);
+        self.grow();
         let own = self.own_report();
         self.send(from.clone(), message::Message::Pong(sent, own));
         self.catch_up(from, report);
@@ -156,7 +162,9 @@
     fn ponged(&mut self, from: &Name, sent: time::Time, report: &message::Report) {
         let revision = self.revision();
         let epoch = self.budgets.epoch().number;
-        let current = |r: u64, e: u64| r <= revision && e <= epoch;
+        // Where the store arbitrates, proofs only tell who is live.
+        let ruled = self.arbiter == group::Arbiter::Store;
+        let current = |r: u64, e: u64| ruled || (r <= revision && e <= epoch);
         self.members.ponged(from, self.now, sent, report, &current);
         self.learn_positions(sent, &report.positions);
         self.catch_up(from, report);
@@ -306,9 +314,34 @@
         self.resize();
         self.record_epoch(false);
         self.ping(true);
+        self.confirm_epoch();
         self.grow();
     }
 
+    /// Tells the members of a small epoch at once that it is in use here.
+    fn confirm_epoch(&mut self) {
+        let ruled = self.arbiter == group::Arbiter::Store;
+        let members = &self.budgets.epoch().members;
+        if !ruled || members.len() > DIRECT_MEMBERS {
+            return;
+        }
+        let own = self.members.own();
+        let others: Vec<_> = members
+            .iter()
+            .filter(|member| member.vm != own.vm)
+            .map(|member| member.vm.clone())
+            .collect();
+        let report = message::Report {
+            heard: Vec::new(),
+            positions: Vec::new(),
+            ..self.own_report()
+        };
+        for vm in others {
+            let ping = message::Message::Ping(self.now, report.clone());
+            self.send(vm, ping);
+        }
+    }
+
     fn record_epoch(&mut self, grown: bool) {
         let (number, members) = {
             let epoch = self.budgets.epoch();
@@ -360,9 +393,15 @@
         let live = self.members.live(self.now);
         let own = self.members.own();
         let rank = live.iter().position(|member| *member == own).unwrap_or(0);
-        let delay = EPOCH_PAUSE + EPOCH_STAGGER * u32::try_from(rank).unwrap_or(u32::MAX);
+        let pause = match self.arbiter {
+            group::Arbiter::Instances => EPOCH_PAUSE,
+            group::Arbiter::Store => RULED_EPOCH_PAUSE,
+        };
+        let delay = pause + EPOCH_STAGGER * u32::try_from(rank).unwrap_or(u32::MAX);
         let recent = |at: time::Time| self.now.since(at) < EPOCH_PAUSE * 2;
-        let calm = !recent(self.control.adopted) || self.budgets.epoch().number == 0;
+        // A VM that has no share yet does not wait.
+        let first = self.budgets.epoch().number == 0 || !self.budgets.is_joined();
+        let calm = !recent(self.control.adopted) || first;
         let repeated = self.control.proposed.is_some_and(recent);
         if self.now < wanted + delay || !calm || repeated {
             return;
@@ -405,14 +444,22 @@
     pub(crate) fn send_asks(&mut self) {
         let now = self.now;
         let refusal = self.setup.timing.refusal;
-        let peers: Vec<_> = self
-            .members
-            .peers()
-            .iter()
-            .filter(|(_, peer)| peer.listed.is_some() && now.since(peer.touch) <= refusal)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for (peer, ask) in self.budgets.asks(&peers, now) {
+        let region = &self.setup.region;
+        let mut peers = Vec::new();
+        let mut near = Vec::new();
+        for (name, peer) in self.members.peers() {
+            let Some(vm) = &peer.listed else {
+                continue;
+            };
+            if now.since(peer.touch) > refusal {
+                continue;
+            }
+            peers.push(name.clone());
+            if vm.region == *region {
+                near.push(name.clone());
+            }
+        }
+        for (peer, ask) in self.budgets.asks(&peers, &near, now) {
             self.send(peer, message::Message::Ask(ask));
         }
     }
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     admission, budget, consistency, event, group, handover, journal, membership, plugin, position,
-    promotion, revision, sessions, time, view,
+    promotion, revision, sessions, time, view, warm,
 };
 
 /// Retry hint where a database is missing, in ms.
@@ -80,6 +80,7 @@
     pub(crate) arbiter: group::Arbiter,
     pub(crate) owner: collections::HashMap<Name, Name>,
     pub(crate) busy: collections::HashMap<Name, u32>,
+    pub(crate) warm: warm::Warm,
     pub(crate) lanes: collections::BTreeMap<Name, collections::VecDeque<admission::Waiting>>,
     pub(crate) bursts: collections::BTreeMap<Name, Burst>,
     pub(crate) admission: &'static plugin::Admission,
@@ -121,6 +122,7 @@
             control: crate::control::Control::default(),
             owner: collections::HashMap::new(),
             busy: collections::HashMap::new(),
+            warm: warm::Warm::default(),
             lanes: collections::BTreeMap::new(),
             bursts: collections::BTreeMap::new(),
             admission,
@@ -144,6 +146,8 @@
             event::Event::Abandoned(request) => self.abandoned(request),
             event::Event::Released(request, outcome) => self.released(request, outcome),
             event::Event::Polled(poll) => self.polled(&poll),
+            event::Event::Delayed(instance) => self.delayed(&instance),
+            event::Event::Unpolled(instance, live) => self.unpolled(&instance, live),
             event::Event::Fenced(fence) => self.fenced(&fence),
             event::Event::Promoted(fence) => self.promoted(&fence),
             event::Event::Received(from, message) => self.received(&from, message),
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -8,10 +8,14 @@
 
 impl daemon::Daemon {
     pub(crate) fn free(&self, instance: &Name) -> (u32, u32) {
-        let scarce = budget::Scarce::Connections(instance.clone());
-        let units = u32::try_from(self.budgets.units(&scarce)).unwrap_or(u32::MAX);
         let busy = self.busy.get(instance).copied().unwrap_or(0);
-        (units.saturating_sub(busy), busy)
+        (self.units(instance).saturating_sub(busy), busy)
+    }
+
+    /// Connections that this VM may hold to an instance.
+    pub(crate) fn units(&self, instance: &Name) -> u32 {
+        let scarce = budget::Scarce::Connections(instance.clone());
+        u32::try_from(self.budgets.units(&scarce)).unwrap_or(u32::MAX)
     }
 
     /// Grants connections of a group to waiting requests.
@@ -30,6 +34,9 @@
         let Some(confirmation) = pool.group.confirmation(self.now) else {
             return false;
         };
+        if pool.group.is_down(&confirmation.primary, self.now) {
+            return false;
+        }
         let leader = pool.group.instances.get(&confirmation.primary);
         if self.free(&confirmation.primary).0 == 0 || leader.is_some_and(|seen| self.is_over(seen))
         {
@@ -85,7 +92,7 @@
             } else {
                 seen.leaving
             };
-            if closed {
+            if closed || pool.group.is_down(name, self.now) {
                 continue;
             }
             let (free, busy) = self.free(name);
@@ -95,7 +102,8 @@
                 fresh: false,
                 free,
                 busy,
-                rtt: seen.rtt,
+                rtt: pool.group.rtt(seen, self.now),
+                warm: true,
             });
         }
         all
@@ -114,6 +122,7 @@
         }
         let term = pool.group.newest();
         let (sessions, reads, now) = (&self.sessions, &self.reads, self.now);
+        let (warm, ruled) = (&self.warm, self.arbiter == group::Arbiter::Store);
         let budgets = &self.budgets;
         let mut short = collections::BTreeSet::new();
         let mut choice = None;
@@ -132,6 +141,7 @@
             let need = Need::of(view, session, now);
             for candidate in &mut candidates {
                 candidate.fresh = need.is_met(view, session, candidate, now);
+                candidate.warm = !ruled || warm.has(&candidate.name, &session.customer);
             }
             choice = reads.choose(&candidates);
             choice.is_some()
@@ -178,7 +188,12 @@
         floor: Option<position::Floor>,
     ) {
         self.pay(request);
-        *self.busy.entry(instance.clone()).or_default() += 1;
+        let busy = self.busy.entry(instance.clone()).or_default();
+        *busy += 1;
+        let (busy, units) = (*busy, self.units(instance));
+        if let Some(session) = self.sessions.open.get(&request.session) {
+            self.warm.take(instance, &session.customer, busy, units);
+        }
         let granted = sessions::Granted {
             session: request.session,
             group: group.clone(),
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -45,6 +45,8 @@
     ReadOnly,
     /// The instance had no room; nothing ran.
     Busy,
+    /// The instance takes no more connections; nothing ran.
+    Crowded,
     /// The instance has not applied the floor yet; nothing ran.
     Behind(position::Floor),
 }
@@ -240,6 +242,10 @@
     Released(RequestId, Outcome),
     /// Answer to a poll, or none.
     Polled(Poll),
+    /// An instance has not answered a statement for a while.
+    Delayed(Name),
+    /// A poll gave no status; whether the instance is known to live.
+    Unpolled(Name, bool),
     /// Answer to a fence, or none.
     Fenced(Fence),
     /// Answer to a promotion.
--- a/components/kernel/src/group.rs
+++ b/components/kernel/src/group.rs
@@ -24,8 +24,22 @@
 const HISTORY: usize = 256;
 /// Weight of a new round-trip time in its average, in 1/8.
 const RTT_WEIGHT: u64 = 1;
+/// Time after which a measured round-trip time of an unused instance is halved.
+const RTT_HALF_LIFE: std_time::Duration = std_time::Duration::from_millis(500);
+/// Halvings after which it counts for nothing.
+const RTT_HALVINGS: u64 = 20;
 /// Time between two positions in the history.
 const HISTORY_SPACING: std_time::Duration = std_time::Duration::from_millis(40);
+/// Pause after a connection that failed; doubled with every further one.
+const DOWN_PAUSE: std_time::Duration = std_time::Duration::from_millis(40);
+/// Longest such pause.
+const DOWN_PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(640);
+/// Time without an answer after which a statement counts as delayed.
+pub const DELAY: std_time::Duration = std_time::Duration::from_millis(250);
+/// Longest time for which an answer is on its way from an instance.
+const ANSWER_DELAY: std_time::Duration = std_time::Duration::from_millis(50);
+/// Period of polls of a leader that did not answer.
+const TROUBLED_POLL: std_time::Duration = std_time::Duration::from_millis(150);
 /// Time for which a replica that lacked a floor is not asked for it again.
 const BEHIND_PERIOD: std_time::Duration = std_time::Duration::from_millis(60);
 
@@ -36,10 +50,14 @@
     pub status: Option<(time::Time, position::Status)>,
     /// Average round-trip time, in microseconds.
     pub rtt: u64,
+    /// Least round-trip time, in microseconds; 0 if not known.
+    distance: u64,
     /// Leaving: no new transaction.
     pub leaving: bool,
     /// Since when it is leaving.
     pub leaving_since: Option<time::Time>,
+    /// Connections to it fail: when to try again, and the last pause.
+    down: Option<(time::Time, std_time::Duration)>,
     /// Floor that it lacked, and when.
     behind: Option<(time::Time, position::Floor)>,
     /// Its silence has been acted on.
@@ -86,6 +104,8 @@
     ruling: Option<leader::Ruling>,
     /// The leader said that it is a replica.
     unled: bool,
+    /// Since when calls to the leader fail, where the store arbitrates.
+    troubled: Option<time::Time>,
 }
 
 /// Who says which instance leads.
@@ -123,11 +143,32 @@
             arbiter,
             ruling: None,
             unled: false,
+            troubled: None,
         };
         group.configure(config, now);
         group
     }
 
+    /// Takes over the least round-trip times.
+    pub fn place(&mut self, distances: &[(Name, std_time::Duration)]) {
+        for (name, distance) in distances {
+            if let Some(seen) = self.instances.get_mut(name) {
+                seen.distance = time::micros(*distance);
+            }
+        }
+    }
+
+    /// Round-trip time to expect, in microseconds. Where the store arbitrates,
+    /// an instance that has not been used for a while counts as less loaded.
+    pub fn rtt(&self, seen: &Seen, now: time::Time) -> u64 {
+        if self.arbiter == Arbiter::Instances {
+            return seen.rtt;
+        }
+        let unused = time::micros(now.since(seen.sent)) / time::micros(RTT_HALF_LIFE);
+        let decayed = seen.rtt >> unused.min(RTT_HALVINGS);
+        decayed.max(seen.distance)
+    }
+
     /// Its name.
     pub fn name(&self) -> &Name {
         &self.name
@@ -160,6 +201,43 @@
         self.wanted = self.wanted.max(now);
     }
 
+    /// A connection to the instance could not be opened.
+    pub fn failed(&mut self, instance: &Name, now: time::Time) {
+        let Some(seen) = self.instances.get_mut(instance) else {
+            return;
+        };
+        let pause = match seen.down {
+            // Several requests have found it down at once.
+            Some((until, _)) if now < until => return,
+            Some((_, pause)) => (pause * 2).min(DOWN_PAUSE_LIMIT),
+            None => DOWN_PAUSE,
+        };
+        seen.down = Some((now + pause, pause));
+    }
+
+    /// Whether connections to the instance are not worth trying now.
+    pub fn is_down(&self, instance: &Name, now: time::Time) -> bool {
+        let seen = self.instances.get(instance);
+        let down = seen.and_then(|seen| seen.down);
+        down.is_some_and(|(until, _)| now < until)
+    }
+
+    /// A statement at the instance has waited for `DELAY`.
+    pub fn delayed(&mut self, instance: &Name, now: time::Time) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.rtt = seen.rtt.max(time::micros(DELAY));
+        }
+        if self.primary() == Some(instance) {
+            self.trouble(now);
+            self.want(now);
+        }
+    }
+
+    /// A call to the leader that was sent at `sent` has failed.
+    pub fn trouble(&mut self, sent: time::Time) {
+        self.troubled.get_or_insert(sent);
+    }
+
     /// Instances to poll now; counts them as polled.
     pub fn due(&mut self, now: time::Time, waiting: bool) -> Vec<Name> {
         let mut names = Vec::new();
@@ -171,7 +249,11 @@
             let since = now.since(seen.sent);
             let asked = self.wanted > seen.sent && since >= POLL_SPACING;
             let again = waiting && seen.pending == 0 && since >= POLL_SPACING;
-            let overdue = since >= self.interval && seen.pending == 0;
+            let interval = match self.troubled {
+                Some(_) => TROUBLED_POLL,
+                None => self.interval,
+            };
+            let overdue = since >= interval && seen.pending == 0;
             let first = seen.sent == time::Time::default() && seen.pending == 0;
             if first || ((asked || again) && seen.pending < POLLS_IN_FLIGHT) || overdue {
                 seen.sent = now;
@@ -195,6 +277,9 @@
         };
         seen.pending = seen.pending.saturating_sub(1);
         let Some(status) = status else {
+            if self.primary() == Some(instance) {
+                self.trouble(sent);
+            }
             return;
         };
         let rtt = time::micros(now.since(sent));
@@ -203,12 +288,30 @@
         } else {
             (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
         };
+        seen.down = None;
         if self.primary() == Some(instance) {
             self.unled = status.role == position::Role::Replica;
         }
         self.observe(now, instance, sent, status);
     }
 
+    /// A poll has ended without a status; whether the instance is known to live.
+    pub fn unpolled(&mut self, instance: &Name, live: bool) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.pending = seen.pending.saturating_sub(1);
+        }
+        if live {
+            self.lives(instance);
+        }
+    }
+
+    /// The instance has shown that it lives, without telling its position.
+    pub fn lives(&mut self, instance: &Name) {
+        if self.primary() == Some(instance) {
+            self.troubled = None;
+        }
+    }
+
     /// Takes in a status however it was learnt.
     pub fn observe(
         &mut self,
@@ -238,6 +341,13 @@
             }
         }
         if status.role == position::Role::Primary && status.term == self.newest {
+            let later = |since: time::Time| now.since(since) > ANSWER_DELAY;
+            if self
+                .troubled
+                .is_some_and(|since| sent >= since || later(since))
+            {
+                self.troubled = None;
+            }
             self.live = self.live.max(sent);
             self.known = true;
             self.remember(now, sent, status);
@@ -353,6 +463,7 @@
             self.known = false;
             self.sample = None;
             self.unled = false;
+            self.troubled = None;
         }
         if let Some(ruling) = &ruling {
             self.newest = self.newest.max(ruling.term);
@@ -385,6 +496,7 @@
             (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
         };
         seen.sent = seen.sent.max(sent);
+        seen.down = None;
         if seen.behind.is_some_and(|(_, floor)| floor <= applied) {
             seen.behind = None;
         }
@@ -544,6 +656,11 @@
 
     /// Time for which no primary of the newest term has answered.
     pub fn silence(&self, now: time::Time) -> std_time::Duration {
+        if self.arbiter == Arbiter::Store && self.ruling.is_some() {
+            return self
+                .troubled
+                .map_or(std_time::Duration::ZERO, |since| now.since(since));
+        }
         now.since(self.live.max(self.changed))
     }
 
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -23,11 +23,13 @@
 pub mod plugin;
 pub mod position;
 pub mod promotion;
+pub mod proof;
 pub mod revision;
 mod sessions;
 pub mod sharing;
 pub mod time;
 pub mod view;
+mod warm;
 mod watching;
 
 pub use daemon::{Daemon, Setup};
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -307,12 +307,14 @@
     }
 
     /// Takes over which run of a VM the store names.
-    pub fn register(&mut self, entry: &event::Entry) {
+    pub fn register(&mut self, entry: &event::Entry, now: time::Time) {
         if let Some(peer) = self.peers.get_mut(&entry.vm.name) {
             if entry.incarnation > peer.incarnation {
                 peer.incarnation = entry.incarnation;
                 peer.revision = 0;
                 peer.epoch = 0;
+                // It has just written to the store.
+                peer.touch = now;
             }
             if entry.released {
                 peer.released = peer.released.max(entry.incarnation);
--- a/components/kernel/src/view.rs
+++ b/components/kernel/src/view.rs
@@ -2,7 +2,7 @@
 //!
 //! Three parts are watched by themselves: the operators' configuration, the
 //! instances that register, and the fleet's own rows. A part is as old as the
-//! sending of the read that proved it, on a clock that counts suspended time.
+//! last proof of its state, on a clock that counts suspended time.
 //! What it allows ends with its age, so a daemon that cannot read gives up by
 //! itself whatever it held.
 
@@ -70,8 +70,8 @@
 pub struct Update {
     /// Part.
     pub part: Part,
-    /// When the read was sent.
-    pub sent: time::Time,
+    /// Time for which the read proves the state.
+    pub proved: time::Time,
     /// The changes are all there is; what they do not name is gone.
     pub whole: bool,
     /// Changes in order.
@@ -91,7 +91,7 @@
     /// Takes in an update; true if anything changed.
     pub fn apply(&mut self, update: Update) -> bool {
         let seen = self.seen.entry(update.part).or_default();
-        *seen = (*seen).max(update.sent);
+        *seen = (*seen).max(update.proved);
         let mut changed = update.whole && self.forget(update.part, &update.changes);
         for change in update.changes {
             changed |= self.change(change);
@@ -155,7 +155,7 @@
         }
     }
 
-    /// Sending of the newest read of a part.
+    /// Time for which the state of a part was last proved.
     pub fn seen(&self, part: Part) -> Option<time::Time> {
         self.seen.get(&part).copied()
     }
--- a/components/kernel/src/watching.rs
+++ b/components/kernel/src/watching.rs
@@ -76,7 +76,7 @@
         }
         self.listed(vms);
         for entry in &entries {
-            self.members.register(entry);
+            self.members.register(entry, self.now);
         }
         let epoch = match self.view.row(&event::RowKey::Epoch) {
             Some((version, row)) => event::Loaded::Found(*version, row.clone()),
@@ -201,6 +201,25 @@
         }
     }
 
+    pub(crate) fn delayed(&mut self, instance: &Name) {
+        let Some(name) = self.owner.get(instance).cloned() else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&name) {
+            pool.group.delayed(instance, self.now);
+        }
+        self.poll(&name);
+    }
+
+    pub(crate) fn unpolled(&mut self, instance: &Name, live: bool) {
+        let Some(name) = self.owner.get(instance).cloned() else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&name) {
+            pool.group.unpolled(instance, live);
+        }
+    }
+
     /// Newest positions of leaders, for peers.
     pub(crate) fn known_positions(&self) -> Vec<message::Placed> {
         let known = self.pools.iter().filter_map(|(name, pool)| {
--- /dev/null
+++ b/components/kernel/tests/leaders.rs
@@ -0,0 +1,274 @@
+//! Leaders that the store arbitrates, under failures.
+
+mod ruled;
+
+use ruled::{Options, World, ms};
+
+/// Sends a write through each VM every 50 ms.
+fn write_for(world: &mut World, span: u64) {
+    let sessions: Vec<_> = (0..world.kernels.len())
+        .map(|vm| world.session(vm, "latest"))
+        .collect();
+    for _ in 0..span / 50 {
+        for (vm, session) in sessions.iter().enumerate() {
+            world.request(vm, *session, true);
+        }
+        world.run(ms(50));
+    }
+}
+
+#[test]
+fn a_lost_leader_is_replaced_once() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].alive = false;
+    write_for(&mut world, 3000);
+    assert_eq!(world.orders.len(), 1, "{:?}", world.log);
+    assert!(world.leader().is_some_and(|leader| leader != 0));
+    let last = world
+        .acknowledged
+        .last()
+        .copied()
+        .expect("acknowledged writes");
+    assert!(
+        world.now.since(last) < ms(200),
+        "writes go on: {:?}",
+        world.log
+    );
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_leader_that_leaves_is_replaced_without_losing_a_commit() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].leaving = true;
+    write_for(&mut world, 3000);
+    assert!(world.leader().is_some_and(|leader| leader != 0));
+    assert_eq!(world.orders.len(), 1, "{:?}", world.log);
+    // Every commit of the old leader is in the log of the new one.
+    let acknowledged = world.acknowledged.len() as u64;
+    let leader = world.leader().expect("a leader");
+    assert!(world.instances[leader].received >= 10 + acknowledged);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_leader_without_room_for_connections_is_not_lost() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].crowded = true;
+    write_for(&mut world, 3000);
+    assert_eq!(world.orders, Vec::new(), "{:?}", world.log);
+    world.instances[0].crowded = false;
+    let before = world.acknowledged.len();
+    write_for(&mut world, 1000);
+    assert!(world.acknowledged.len() > before);
+}
+
+#[test]
+fn one_vm_that_cannot_reach_the_leader_does_not_replace_it() {
+    let mut world = World::new(&Options::default());
+    world.cut_instances.insert((1, 0));
+    write_for(&mut world, 3000);
+    assert_eq!(world.orders, Vec::new(), "{:?}", world.log);
+}
+
+/// A VM without peers and store still reaches the old leader.
+fn silent_vm(first_lease_ms: Option<u64>) -> World {
+    let mut world = World::new(&Options {
+        first_lease_ms,
+        ..Options::default()
+    });
+    write_for(&mut world, 500);
+    world.cut_store.insert(0);
+    world.cut_peers.insert(0);
+    for vm in [1, 2] {
+        world.cut_instances.insert((vm, 0));
+    }
+    write_for(&mut world, 5000);
+    assert!(!world.orders.is_empty(), "replaced: {:?}", world.log);
+    world
+}
+
+#[test]
+fn a_silent_vm_is_waited_out() {
+    let world = silent_vm(None);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_silent_vm_with_an_endless_lease_breaks_the_promise() {
+    let world = silent_vm(Some(100_000));
+    assert!(!world.violations.is_empty(), "the check must see it");
+}
+
+#[test]
+fn a_claim_of_a_killed_vm_is_taken_over() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].alive = false;
+    // Runs until the claim stands, then kills its holder.
+    let holder = (0..400).find_map(|_| {
+        world.run(ms(5));
+        write_for(&mut world, 50);
+        let claimed = world
+            .log
+            .iter()
+            .find(|(_, _, line)| line.contains("claimed with"));
+        claimed.map(|(_, vm, _)| *vm)
+    });
+    let holder = holder.expect("a claim");
+    world.dead.insert(holder);
+    world.run(ms(500));
+    world.restart(holder);
+    write_for(&mut world, 4000);
+    assert!(
+        world.leader().is_some_and(|leader| leader != 0),
+        "{:?}",
+        world.log
+    );
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_frozen_holder_orders_nothing_when_it_wakes() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].alive = false;
+    let holder = (0..400).find_map(|_| {
+        write_for(&mut world, 50);
+        let claimed = world
+            .log
+            .iter()
+            .find(|(_, _, line)| line.contains("claimed with"));
+        claimed.map(|(_, vm, _)| *vm)
+    });
+    let holder = holder.expect("a claim");
+    let before = world.orders.len();
+    world.frozen.insert(holder);
+    world.run(ms(12_000));
+    assert!(world.orders.len() > before || world.leader().is_some_and(|l| l != 0));
+    let orders = world.orders.len();
+    world.frozen.remove(&holder);
+    write_for(&mut world, 2000);
+    assert_eq!(world.orders.len(), orders, "{:?}", world.log);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn an_order_whose_answer_is_lost_is_repeated_with_its_token() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].alive = false;
+    world.lose_orders = 1;
+    write_for(&mut world, 4000);
+    assert!(
+        world.leader().is_some_and(|leader| leader != 0),
+        "{:?}",
+        world.log
+    );
+    let tokens: std::collections::BTreeSet<_> =
+        world.orders.iter().map(|(token, _)| *token).collect();
+    assert_eq!(tokens.len(), 1);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn reads_leave_an_instance_that_refuses_connections() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[1].alive = false;
+    world.grants.clear();
+    let sessions: Vec<_> = (0..8).map(|_| world.session(0, "aged")).collect();
+    for _ in 0..200 {
+        for session in &sessions {
+            world.request(0, *session, false);
+        }
+        world.run(ms(10));
+    }
+    let dead = world
+        .grants
+        .iter()
+        .filter(|(instance, _)| *instance == 1)
+        .count();
+    assert!(
+        dead <= 40,
+        "{dead} of {} grants went to it",
+        world.grants.len()
+    );
+    assert_eq!(world.refused, Vec::new());
+}
+
+#[test]
+fn replicas_serve_aged_reads_while_there_is_no_leader() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].alive = false;
+    let session = world.session(1, "aged");
+    for _ in 0..40 {
+        world.request(1, session, false);
+        world.run(ms(10));
+    }
+    assert_eq!(world.refused, Vec::new(), "{:?}", world.log);
+}
+
+#[test]
+fn a_vm_behind_a_relay_without_the_store_stays_listed() {
+    let mut world = World::new(&Options {
+        vms: 4,
+        regions: vec!["home", "home", "far", "far"],
+        ..Options::default()
+    });
+    // The relay of the far region stays behind in what the store says.
+    world.cut_store.insert(2);
+    world.revision += 1;
+    world.run(ms(8000));
+    let evicted = world
+        .log
+        .iter()
+        .any(|(_, _, line)| line.contains("vm-3 removed"));
+    assert!(!evicted, "{:?}", world.log);
+}
+
+#[test]
+fn a_vm_that_was_removed_comes_back_as_a_new_run() {
+    let mut world = World::new(&Options::default());
+    world.cut_peers.insert(2);
+    world.run(ms(8000));
+    assert!(world.recorded("vm-2 removed from the store"));
+    world.cut_peers.remove(&2);
+    world.run(ms(4000));
+    assert!(world.kernels[2].is_ready(), "{:?}", world.log);
+}
+
+#[test]
+fn a_fleet_that_starts_again_shares_within_a_second() {
+    let mut world = World::new(&Options::default());
+    world.dead.extend([0, 1, 2]);
+    world.run(ms(1000));
+    for vm in 0..3 {
+        world.restart(vm);
+    }
+    world.run(ms(1000));
+    let ready = world.kernels.iter().all(kernel::Daemon::is_ready);
+    assert!(ready, "{:?}", world.log);
+}
+
+#[test]
+fn asks_that_nobody_answers_become_rare() {
+    let mut world = World::new(&Options::default());
+    world.run(ms(2000));
+    // All connections to the leader are wanted on every VM.
+    for vm in 0..3 {
+        for _ in 0..20 {
+            let session = world.session(vm, "latest");
+            world.request(vm, session, true);
+        }
+    }
+    world.instances[0].crowded = true;
+    world.run(ms(1000));
+    world.asks = 0;
+    world.run(ms(1000));
+    assert!(world.asks <= 60, "{} asks in a second", world.asks);
+}
--- /dev/null
+++ b/components/kernel/tests/ruled/mod.rs
@@ -0,0 +1,633 @@
+//! A fleet of kernels whose leaders the store arbitrates: a store with rows and
+//! feeds, instances that are promoted by order, and a network, all driven by
+//! one clock.
+
+use std::{collections, sync, time as std_time};
+
+use config::{Durability, Fleet, Group, Name, Reads, Route};
+use errors::Cause;
+use kernel::{Daemon, Setup, event, message, position, time, view};
+
+/// Step of the clock.
+const STEP: std_time::Duration = std_time::Duration::from_millis(5);
+/// One way between VMs, and to the store and the instances.
+const WAY: std_time::Duration = std_time::Duration::from_millis(5);
+/// Time for an instance to lead after an order.
+const PROMOTION: std_time::Duration = std_time::Duration::from_millis(300);
+/// Period in which a feed without changes returns.
+const FEED_PERIOD: u64 = 500_000;
+
+pub const fn ms(n: u64) -> std_time::Duration {
+    std_time::Duration::from_millis(n)
+}
+
+pub fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("a plain name")
+}
+
+/// An instance.
+#[derive(Clone, Debug)]
+pub struct Fake {
+    pub alive: bool,
+    pub crowded: bool,
+    pub leaving: bool,
+    pub role: position::Role,
+    pub term: u64,
+    pub received: u64,
+    pub held: bool,
+    /// Replication to it is cut.
+    pub deaf: bool,
+}
+
+enum Parcel {
+    Kernel(usize, event::Event),
+    Poll(usize, usize, time::Time),
+    Fence(usize, usize, position::Term),
+    Depose(usize, position::Term),
+    Store(usize, u64, Option<event::Row>, event::RowKey),
+    Order(usize, event::Order),
+    Lead(usize),
+    Run(usize, event::RequestId, event::Grant),
+}
+
+/// Everything.
+pub struct World {
+    pub now: time::Time,
+    pub kernels: Vec<Daemon>,
+    pub dead: collections::BTreeSet<usize>,
+    pub frozen: collections::BTreeSet<usize>,
+    pub cut_store: collections::BTreeSet<usize>,
+    pub cut_peers: collections::BTreeSet<usize>,
+    pub cut_instances: collections::BTreeSet<(usize, usize)>,
+    pub instances: Vec<Fake>,
+    /// Orders as they reached the platform: token and instance.
+    pub orders: Vec<(u64, usize)>,
+    pub lose_orders: usize,
+    pub violations: Vec<String>,
+    pub log: Vec<(time::Time, usize, String)>,
+    pub acknowledged: Vec<time::Time>,
+    pub unknown: usize,
+    pub refused: Vec<Cause>,
+    pub grants: Vec<(usize, bool)>,
+    pub asks: usize,
+    /// Number of the configuration.
+    pub revision: u64,
+    rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
+    changes: Vec<(u64, event::RowKey)>,
+    version: u64,
+    fed: Vec<u64>,
+    proved: Vec<time::Time>,
+    queue: collections::BTreeMap<(time::Time, u64), Parcel>,
+    sequence: u64,
+    setups: Vec<Setup>,
+    requests: collections::BTreeMap<event::RequestId, (usize, bool)>,
+    next: u64,
+}
+
+/// What a world starts with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub vms: usize,
+    /// Regions of the VMs; the first where none is named.
+    pub regions: Vec<&'static str>,
+    pub lease_ms: u64,
+    pub first_lease_ms: Option<u64>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            vms: 3,
+            regions: Vec::new(),
+            lease_ms: 1000,
+            first_lease_ms: None,
+        }
+    }
+}
+
+fn setup(options: &Options, i: usize) -> Setup {
+    let lease = options.first_lease_ms.filter(|_| i == 0);
+    Setup {
+        vm: name(&format!("vm-{i}")),
+        domain: name(&format!("domain-{}", i % 3)),
+        region: name(options.regions.get(i).copied().unwrap_or("home")),
+        domains: collections::BTreeMap::new(),
+        peer: "127.0.0.1:1".into(),
+        incarnation: 1 + i as u64,
+        timing: config::Timing {
+            lease: ms(lease.unwrap_or(options.lease_ms)),
+            poll: ms(3000),
+            suspect: ms(600),
+            gossip: ms(500),
+            refusal: ms(4500),
+            platform: ms(500),
+            stop: ms(6000),
+            drain: ms(6000),
+            tick: STEP,
+        },
+        limits: config::Limits {
+            message: 1 << 20,
+            sessions: 100,
+            startup: ms(1000),
+            idle: ms(3000),
+            wait: ms(2500),
+            queue: 100,
+        },
+        policy: config::Policy {
+            arbiter: name("store"),
+            ..config::Policy::default()
+        },
+    }
+}
+
+fn document(revision: u64) -> view::Document {
+    let mut fleet = Fleet::default();
+    let group = Group {
+        durability: Durability::Primary,
+        instances: Vec::new(),
+    };
+    fleet.groups.insert(name("orders"), group);
+    for (route, reads) in [("latest", Reads::Latest), ("aged", Reads::OwnAndAge)] {
+        let entry = Route {
+            open: true,
+            age_ms: 1500,
+            reads,
+            ..Route::new(name("orders"))
+        };
+        fleet.routes.insert(name(route), entry);
+    }
+    view::Document {
+        revision,
+        fleet,
+        connections: collections::BTreeMap::from([(name("orders"), 16)]),
+    }
+}
+
+impl World {
+    /// A fleet that is ready; instance 0 leads.
+    pub fn new(options: &Options) -> Self {
+        let start = time::Time::from_ms(1000);
+        let setups: Vec<_> = (0..options.vms).map(|i| setup(options, i)).collect();
+        let kernels = setups.iter().map(|setup| {
+            let daemon = Daemon::new(setup.clone(), start);
+            daemon.expect("known policies")
+        });
+        let fake = |i: usize| Fake {
+            alive: true,
+            crowded: false,
+            leaving: false,
+            role: if i == 0 {
+                position::Role::Primary
+            } else {
+                position::Role::Replica
+            },
+            term: 1,
+            received: 10,
+            held: false,
+            deaf: false,
+        };
+        let mut world = Self {
+            now: start,
+            kernels: kernels.collect(),
+            dead: collections::BTreeSet::new(),
+            frozen: collections::BTreeSet::new(),
+            cut_store: collections::BTreeSet::new(),
+            cut_peers: collections::BTreeSet::new(),
+            cut_instances: collections::BTreeSet::new(),
+            instances: (0..3).map(fake).collect(),
+            orders: Vec::new(),
+            lose_orders: 0,
+            violations: Vec::new(),
+            log: Vec::new(),
+            acknowledged: Vec::new(),
+            unknown: 0,
+            refused: Vec::new(),
+            grants: Vec::new(),
+            asks: 0,
+            revision: 7,
+            rows: collections::BTreeMap::new(),
+            changes: Vec::new(),
+            version: 1,
+            fed: vec![0; options.vms],
+            proved: vec![time::Time::default(); options.vms],
+            queue: collections::BTreeMap::new(),
+            sequence: 0,
+            setups,
+            requests: collections::BTreeMap::new(),
+            next: 0,
+        };
+        world.run(ms(3000));
+        assert!(
+            world.kernels.iter().all(Daemon::is_ready),
+            "the fleet is not ready: {:?}",
+            world.log
+        );
+        world
+    }
+
+    fn post(&mut self, delay: std_time::Duration, parcel: Parcel) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), parcel);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: std_time::Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.replicate();
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let parcel = entry.remove();
+                self.open(parcel);
+            }
+            for vm in 0..self.kernels.len() {
+                self.feed(vm);
+                self.drive(vm, event::Event::Tick);
+            }
+        }
+    }
+
+    fn replicate(&mut self) {
+        let leader = self
+            .instances
+            .iter()
+            .filter(|i| i.alive && i.role == position::Role::Primary);
+        let Some(source) = leader.max_by_key(|i| i.term).cloned() else {
+            return;
+        };
+        for fake in &mut self.instances {
+            let follows = fake.alive && !fake.held && !fake.deaf;
+            if follows && fake.term <= source.term && fake.role == position::Role::Replica {
+                fake.term = source.term;
+                fake.received = source.received;
+            }
+        }
+    }
+
+    /// Returns the feeds of a VM that are due.
+    fn feed(&mut self, vm: usize) {
+        if self.dead.contains(&vm) || self.frozen.contains(&vm) || self.cut_store.contains(&vm) {
+            return;
+        }
+        let first = self.fed[vm] == 0;
+        let after = self.fed[vm];
+        let fresh: Vec<_> = self
+            .changes
+            .iter()
+            .filter(|(v, _)| *v > after)
+            .cloned()
+            .collect();
+        let proof = self.now.since(self.proved[vm]) >= std_time::Duration::from_micros(FEED_PERIOD);
+        if fresh.is_empty() && !first && !proof {
+            return;
+        }
+        let list = fresh.into_iter().map(|(_, key)| {
+            let row = self.rows.get(&key).cloned();
+            view::Change::Row(key, row)
+        });
+        let list: Vec<_> = list.collect();
+        self.fed[vm] = self.version;
+        self.proved[vm] = self.now;
+        let (now, whole) = (self.now, first);
+        let update = |part, changes| {
+            event::Event::Watched(view::Update {
+                part,
+                proved: now,
+                whole,
+                changes,
+            })
+        };
+        let instances = self.registrations();
+        let configuration = vec![view::Change::Configuration(sync::Arc::new(document(
+            self.revision,
+        )))];
+        let updates = [
+            update(view::Part::Configuration, configuration),
+            update(view::Part::Instances, instances),
+            update(view::Part::Rows, list),
+        ];
+        for update in updates {
+            self.post(WAY, Parcel::Kernel(vm, update));
+        }
+    }
+
+    fn registrations(&self) -> Vec<view::Change> {
+        let all = self.instances.iter().enumerate().map(|(i, fake)| {
+            let entry = view::Registration {
+                group: name("orders"),
+                address: ([127, 0, 0, 1], 5000 + u16::try_from(i).unwrap_or(0)).into(),
+                domain: name(&format!("domain-{i}")),
+                leaving: fake.leaving,
+                leads: fake.role == position::Role::Primary,
+                born: 0,
+            };
+            view::Change::Instance(name(&format!("db-{i}")), Some(entry))
+        });
+        all.collect()
+    }
+
+    /// Replaces a daemon by a new run on the same VM.
+    pub fn restart(&mut self, vm: usize) {
+        self.setups[vm].incarnation += 100;
+        let daemon = Daemon::new(self.setups[vm].clone(), self.now);
+        self.kernels[vm] = daemon.expect("known policies");
+        self.fed[vm] = 0;
+        self.dead.remove(&vm);
+        self.frozen.remove(&vm);
+    }
+
+    /// Gives an event to a kernel that runs, or holds it while it is frozen.
+    pub fn drive(&mut self, vm: usize, event: event::Event) {
+        if self.dead.contains(&vm) {
+            return;
+        }
+        if self.frozen.contains(&vm) {
+            if !matches!(event, event::Event::Tick) {
+                self.post(STEP, Parcel::Kernel(vm, event));
+            }
+            return;
+        }
+        for action in self.kernels[vm].handle(self.now, event) {
+            self.perform(vm, action);
+        }
+    }
+
+    fn perform(&mut self, vm: usize, action: event::Action) {
+        match action {
+            event::Action::Poll(instance) => {
+                let parcel = Parcel::Poll(vm, index(&instance), self.now);
+                self.post(WAY, parcel);
+            }
+            event::Action::Fence(instance, term) => {
+                self.post(WAY, Parcel::Fence(vm, index(&instance), term));
+            }
+            event::Action::Depose(instance, term) => {
+                if !self.cut_instances.contains(&(vm, index(&instance))) {
+                    self.post(WAY, Parcel::Depose(index(&instance), term));
+                }
+            }
+            event::Action::Send(to, message) => self.send(vm, &to, message),
+            event::Action::Store(version, row) => {
+                let key = row.key();
+                self.post(WAY, Parcel::Store(vm, version, Some(row), key));
+            }
+            event::Action::Erase(version, key) => {
+                self.post(WAY, Parcel::Store(vm, version, None, key));
+            }
+            event::Action::Order(order) => {
+                if self.now < order.until {
+                    self.post(WAY, Parcel::Order(vm, order));
+                } else {
+                    let rejected = event::Event::Ordered(order.group, event::Ordered::Rejected);
+                    self.post(WAY, Parcel::Kernel(vm, rejected));
+                }
+            }
+            event::Action::Grant(grant) => {
+                self.grants.push((index(&grant.instance), grant.primary));
+                self.post(WAY, Parcel::Run(vm, grant.request, grant));
+            }
+            event::Action::Refuse(_, refusal) if refusal.cause == Cause::OutcomeUnknown => {
+                self.unknown += 1;
+            }
+            event::Action::Refuse(_, refusal) => self.refused.push(refusal.cause),
+            event::Action::Acknowledge(_, _, until) => {
+                // The driver looks at the clock again.
+                if self.now < until {
+                    self.acknowledged.push(self.now);
+                }
+            }
+            event::Action::Record(entry) => {
+                self.log.push((self.now, vm, entry.decision.to_string()));
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &Name, message: message::Message) {
+        if matches!(message, message::Message::Ask(_)) {
+            self.asks += 1;
+        }
+        let Some(to) = self.setups.iter().position(|setup| setup.vm == *to) else {
+            return;
+        };
+        if self.cut_peers.contains(&from) || self.cut_peers.contains(&to) {
+            return;
+        }
+        let from = self.setups[from].vm.clone();
+        let event = event::Event::Received(from, message);
+        self.post(WAY, Parcel::Kernel(to, event));
+    }
+
+    fn reaches(&self, vm: usize, instance: usize) -> bool {
+        self.instances[instance].alive && !self.cut_instances.contains(&(vm, instance))
+    }
+
+    fn status(&self, instance: usize) -> position::Status {
+        let fake = &self.instances[instance];
+        position::Status {
+            term: position::Term(fake.term),
+            promised: position::Term(fake.term),
+            role: fake.role,
+            received: position::Lsn(fake.received),
+            replayed: position::Lsn(fake.received),
+            start: position::Lsn(0),
+        }
+    }
+
+    fn open(&mut self, parcel: Parcel) {
+        match parcel {
+            Parcel::Kernel(vm, event) => self.drive(vm, event),
+            Parcel::Poll(vm, instance, sent) => self.poll(vm, instance, sent),
+            Parcel::Fence(vm, instance, term) => {
+                let reached = self.reaches(vm, instance);
+                self.instances[instance].held |= reached;
+                let fence = event::Fence {
+                    instance: name(&format!("db-{instance}")),
+                    term,
+                    accepted: reached,
+                    status: reached.then(|| self.status(instance)),
+                };
+                self.post(WAY, Parcel::Kernel(vm, event::Event::Fenced(fence)));
+            }
+            Parcel::Depose(instance, term) => {
+                let fake = &mut self.instances[instance];
+                if fake.alive && fake.term < term.0 {
+                    fake.role = position::Role::Replica;
+                }
+            }
+            Parcel::Store(vm, version, row, key) => self.store(vm, version, row, key),
+            Parcel::Order(vm, order) => self.order(vm, &order),
+            Parcel::Lead(instance) => {
+                let term = self.instances.iter().map(|fake| fake.term).max();
+                let fake = &mut self.instances[instance];
+                fake.role = position::Role::Primary;
+                fake.term = term.unwrap_or(0) + 1;
+                for fake in &mut self.instances {
+                    fake.held = false;
+                }
+            }
+            Parcel::Run(vm, request, grant) => self.execute(vm, request, &grant),
+        }
+    }
+
+    fn poll(&mut self, vm: usize, instance: usize, sent: time::Time) {
+        let named = name(&format!("db-{instance}"));
+        let reached = self.reaches(vm, instance);
+        if reached && self.instances[instance].crowded {
+            let event = event::Event::Unpolled(named, true);
+            return self.post(WAY, Parcel::Kernel(vm, event));
+        }
+        let poll = event::Poll {
+            instance: named,
+            sent,
+            status: reached.then(|| self.status(instance)),
+        };
+        self.post(WAY, Parcel::Kernel(vm, event::Event::Polled(poll)));
+    }
+
+    fn store(&mut self, vm: usize, version: u64, row: Option<event::Row>, key: event::RowKey) {
+        let current = self.rows.get(&key).map_or(0, |(version, _)| *version);
+        let stored = if self.cut_store.contains(&vm) {
+            event::Stored::Unknown
+        } else if current != version {
+            event::Stored::Conflict
+        } else {
+            self.version += 1;
+            match row {
+                Some(row) => self.rows.insert(key.clone(), (self.version, row)),
+                None => self.rows.remove(&key),
+            };
+            self.changes.push((self.version, key.clone()));
+            event::Stored::Written(self.version)
+        };
+        self.post(WAY, Parcel::Kernel(vm, event::Event::Stored(key, stored)));
+    }
+
+    fn order(&mut self, vm: usize, order: &event::Order) {
+        let instance = index(&order.instance);
+        let highest = self.orders.iter().map(|(token, _)| *token).max();
+        if highest.is_some_and(|highest| order.token < highest) {
+            self.violations.push("an order carried an old token".into());
+        }
+        self.orders.push((order.token, instance));
+        let ordered = if self.instances[instance].alive {
+            self.post(PROMOTION, Parcel::Lead(instance));
+            event::Ordered::Accepted
+        } else {
+            event::Ordered::Rejected
+        };
+        let ordered = if self.lose_orders > 0 {
+            self.lose_orders -= 1;
+            event::Ordered::Unknown
+        } else {
+            ordered
+        };
+        let event = event::Event::Ordered(order.group.clone(), ordered);
+        self.post(WAY, Parcel::Kernel(vm, event));
+    }
+
+    /// Opens a session on a route.
+    pub fn session(&mut self, vm: usize, route: &str) -> event::SessionId {
+        self.next += 1;
+        let id = event::SessionId(self.next);
+        let opening = event::Opening {
+            session: id,
+            digest: None,
+            route: route.into(),
+            token: None,
+        };
+        self.drive(vm, event::Event::Opened(opening));
+        id
+    }
+
+    /// Sends a request.
+    pub fn request(&mut self, vm: usize, session: event::SessionId, write: bool) {
+        self.next += 1;
+        let id = event::RequestId(session.0 << 24 | self.next);
+        self.requests.insert(id, (vm, write));
+        self.ask(vm, id, false);
+    }
+
+    fn ask(&mut self, vm: usize, id: event::RequestId, retry: bool) {
+        let (_, write) = self.requests[&id];
+        let access = if write {
+            event::Access::Write
+        } else {
+            event::Access::Read
+        };
+        let request = event::Request {
+            id,
+            session: event::SessionId(id.0 >> 24),
+            access,
+            retry,
+        };
+        self.drive(vm, event::Event::Requested(request));
+    }
+
+    fn execute(&mut self, vm: usize, id: event::RequestId, grant: &event::Grant) {
+        let instance = index(&grant.instance);
+        let (_, write) = self.requests[&id];
+        if !self.reaches(vm, instance) {
+            self.drive(vm, event::Event::Released(id, event::Outcome::Unsent));
+            return self.ask(vm, id, true);
+        }
+        if self.instances[instance].crowded {
+            self.drive(vm, event::Event::Released(id, event::Outcome::Crowded));
+            return self.ask(vm, id, true);
+        }
+        let status = self.status(instance);
+        if write && status.role == position::Role::Replica {
+            self.drive(vm, event::Event::Released(id, event::Outcome::ReadOnly));
+            return self.ask(vm, id, true);
+        }
+        if write {
+            self.instances[instance].received += 1;
+        }
+        let status = self.status(instance);
+        let sent = self.now;
+        let observed = event::Observation {
+            instance: grant.instance.clone(),
+            sent,
+            applied: position::Floor {
+                term: status.term,
+                lsn: status.replayed,
+            },
+        };
+        self.drive(vm, event::Event::Observed(observed));
+        let acknowledged = self.acknowledged.len();
+        let outcome = if write {
+            event::Outcome::Committed(Some(status))
+        } else {
+            event::Outcome::Clean
+        };
+        self.drive(vm, event::Event::Released(id, outcome));
+        let newest = self.instances.iter().map(|fake| fake.term).max();
+        let replaced = newest.is_some_and(|newest| status.term.0 < newest);
+        if write && replaced && self.acknowledged.len() > acknowledged {
+            let text = "a replaced leader's commit was acknowledged";
+            self.violations.push(text.into());
+        }
+    }
+
+    /// Whether any VM has recorded a decision with this text.
+    pub fn recorded(&self, text: &str) -> bool {
+        self.log.iter().any(|(_, _, line)| line.contains(text))
+    }
+
+    /// Instance that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let leading = self.instances.iter().enumerate();
+        leading
+            .filter(|(_, fake)| fake.alive && fake.role == position::Role::Primary)
+            .max_by_key(|(_, fake)| fake.term)
+            .map(|(i, _)| i)
+    }
+}
+
+fn index(instance: &Name) -> usize {
+    let number = instance.trim_start_matches("db-");
+    number.parse().expect("an instance")
+}
--- a/components/store/src/service.rs
+++ b/components/store/src/service.rs
@@ -39,6 +39,8 @@
     pub whole: bool,
     /// Changes in order.
     pub list: Vec<view::Change>,
+    /// The store's steady clock at the answer, if it tells one.
+    pub clock: Option<time::Duration>,
 }
 
 /// Orders promotions from the platform.
