--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -126,6 +126,8 @@
     idle: Option<Span<String>>,
     wait: Option<Span<String>>,
     queue: Option<Span<u64>>,
+    tolerance: Option<Span<u64>>,
+    overage: Option<Span<f64>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -160,6 +162,21 @@
     Ok(usize::try_from(value).unwrap_or(usize::MAX))
 }
 
+fn tolerance(span: Option<&Span<u64>>) -> Located<u32> {
+    let value = span.map_or(Ok(0), |s| within(s, "limits.tolerance", 0, 1 << 20))?;
+    Ok(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
+/// A fraction from 0 to 1, in percent.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn percent(span: &Span<f64>) -> Located<u32> {
+    if (0.0..=1.0).contains(&span.value) {
+        return Ok((span.value * 100.0) as u32);
+    }
+    let problem = failure::Problem::OutOfRange("limits.overage", 0, 1);
+    Err((span.referenced.line(), problem))
+}
+
 impl TryFrom<&RawLimits> for settings::Limits {
     type Error = (u64, failure::Problem);
 
@@ -171,6 +188,8 @@
             idle: or_duration(raw.idle.as_ref(), ms(30_000))?,
             wait: or_duration(raw.wait.as_ref(), ms(5_000))?,
             queue: number(raw.queue.as_ref(), 256, "limits.queue", 1 << 20)?,
+            tolerance: tolerance(raw.tolerance.as_ref())?,
+            overage: raw.overage.as_ref().map_or(Ok(0), percent)?,
         })
     }
 }
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -37,6 +37,10 @@
     pub wait: time::Duration,
     /// Requests of one customer that may wait.
     pub queue: usize,
+    /// Requests beyond rate and burst that the users tolerate in a window.
+    pub tolerance: u32,
+    /// Part of rate and burst by which they may be exceeded, in percent.
+    pub overage: u32,
 }
 
 /// Periods of the control plane.
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use kernel::{event, view};
 
-use crate::{admin, clock, dialogue, failure, session, shell, table, tls};
+use crate::{admin, clock, dialogue, failure, session, shell, table, tls, workers};
 
 /// Part of the validity of leaders for which a watch of the rows may wait, so
 /// that they are proved again well before it ends.
@@ -18,8 +18,6 @@
 const CONFIGURATION_WATCH_PARTS: u32 = 2;
 /// Time for the last calls to the platform at a stop.
 const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(500);
-/// Stack of a session's thread, in bytes.
-const STACK_SIZE: usize = 128 * 1024;
 /// Period of looks at the sessions that are left at a stop.
 const STOP_PERIOD: time::Duration = time::Duration::from_millis(5);
 
@@ -31,6 +29,7 @@
     peer: net::SocketAddr,
     server: Option<sync::Arc<tiny_http::Server>>,
     closed: sync::Arc<atomic::AtomicBool>,
+    workers: workers::Workers,
 }
 
 fn bind(address: net::SocketAddr) -> Result<net::TcpListener, failure::Failure> {
@@ -96,6 +95,7 @@
             peer,
             server: admin::start(&shell, listeners.admin),
             closed: sync::Arc::default(),
+            workers: workers::Workers::default(),
             shell,
         };
         running.start_peers(listeners.peers)?;
@@ -154,6 +154,7 @@
     fn accept(&self, listener: net::TcpListener, tls: Option<sync::Arc<rustls::ServerConfig>>) {
         let shell = self.shell.clone();
         let closed = self.closed.clone();
+        let workers = self.workers.clone();
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
                 if closed.load(atomic::Ordering::SeqCst) {
@@ -169,8 +170,7 @@
                         log::debug!("session ended: {failure}");
                     }
                 };
-                let spawned = thread::Builder::new().stack_size(STACK_SIZE).spawn(serve);
-                if let Err(error) = spawned {
+                if let Err(error) = workers.run(Box::new(serve)) {
                     log::warn!("a session could not start: {error}");
                 }
             }
@@ -239,6 +239,7 @@
     pub fn halt(self) {
         self.closed.store(true, atomic::Ordering::SeqCst);
         self.shell.halt();
+        self.workers.close();
         // Wakes the accepting thread.
         let _ = net::TcpStream::connect(self.listen);
         if let Some(server) = &self.server {
--- a/components/daemon/src/dialogue.rs
+++ b/components/daemon/src/dialogue.rs
@@ -72,7 +72,6 @@
     socket: net::TcpStream,
 ) -> Result<(), dialect::Failure> {
     let limits = &shell.settings.limits;
-    let control = socket.try_clone()?;
     let mut caller = (links.dialect().accept)(socket, limits.message)?;
     let startup = match caller.greet(limits.startup) {
         Err(dialect::Failure::Malformed) => {
@@ -83,7 +82,7 @@
     if shell.count_sessions() >= limits.sessions {
         return caller.reject(&Refusal::new(Cause::NoCapacity, 1000));
     }
-    let handle = sync::Arc::new(shell::Handle::answering(control));
+    let handle = sync::Arc::new(shell::Handle::answering(caller.socket()));
     let id = shell.open(handle.clone());
     shell.drive(event::Event::Opened(event::Opening {
         session: id,
@@ -127,7 +126,7 @@
             if self.handle.rest(idle).is_some() && idle {
                 return Ok(());
             }
-            match self.caller.read(self.idle_limit()) {
+            match self.caller.read(Some(self.idle_limit())) {
                 Ok(dialect::Input::End) | Err(dialect::Failure::Closed) => return Ok(()),
                 Ok(dialect::Input::Unknown) => {
                     self.refuse(None, &Refusal::new(Cause::Protocol, 0))?;
@@ -163,15 +162,20 @@
         }
     }
 
-    /// Time for which the caller may pause in a transaction.
-    fn idle_limit(&self) -> Option<std_time::Duration> {
+    /// Time for which the caller may pause; outside of a transaction it only
+    /// ends one wait of many, at the limit that the socket already has.
+    fn idle_limit(&self) -> std_time::Duration {
         let open = self.transaction.as_ref().is_some_and(|t| !t.failed);
         let stated = self.shell.fleet().idle_ms;
         let limit = match stated {
             0 => self.shell.settings.limits.idle,
             ms => std_time::Duration::from_millis(ms),
         };
-        open.then_some(limit)
+        if open {
+            limit
+        } else {
+            self.shell.settings.limits.startup
+        }
     }
 
     /// Rolls back a transaction whose caller pauses for too long.
@@ -179,6 +183,9 @@
         let Some(transaction) = &mut self.transaction else {
             return;
         };
+        if transaction.failed {
+            return;
+        }
         transaction.failed = true;
         transaction.untold = Some(Refusal::new(Cause::IdleTransaction, 0));
         if let Some(held) = transaction.held.take() {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod shell;
 mod table;
 mod tls;
+mod workers;
 
 pub use daemon::{Listeners, Running};
 pub use failure::Failure;
--- a/components/daemon/src/session.rs
+++ b/components/daemon/src/session.rs
@@ -27,7 +27,7 @@
         return wire::refuse_startup(&mut caller, &Refusal::new(Cause::NoCapacity, 1000));
     }
     let secret = random_secret(&control);
-    let handle = sync::Arc::new(shell::Handle::new(Some(control), secret));
+    let handle = sync::Arc::new(shell::Handle::new(Some(sync::Arc::new(control)), secret));
     let id = shell.open(handle.clone());
     if shell.is_halted() {
         shell.close(id);
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -54,7 +54,7 @@
     replies: sync::Mutex<collections::VecDeque<Reply>>,
     arrived: sync::Condvar,
     ending: sync::Mutex<Ending>,
-    socket: Option<net::TcpStream>,
+    socket: Option<sync::Arc<net::TcpStream>>,
     /// The session answers its caller's next statement before it ends.
     answers: bool,
     /// Secret of its cancel key.
@@ -65,7 +65,7 @@
 
 impl Handle {
     /// A handle on a caller's socket.
-    pub fn new(socket: Option<net::TcpStream>, secret: i32) -> Self {
+    pub fn new(socket: Option<sync::Arc<net::TcpStream>>, secret: i32) -> Self {
         Self {
             replies: sync::Mutex::default(),
             arrived: sync::Condvar::new(),
@@ -79,7 +79,7 @@
 
     /// A handle of a session that answers its caller's next statement before
     /// it ends, and has no cancel key.
-    pub fn answering(socket: net::TcpStream) -> Self {
+    pub fn answering(socket: sync::Arc<net::TcpStream>) -> Self {
         Self {
             answers: true,
             ..Self::new(Some(socket), 0)
--- a/components/dialect/src/plugin.rs
+++ b/components/dialect/src/plugin.rs
@@ -13,6 +13,8 @@
     fn greet(&mut self, limit: time::Duration) -> Result<call::Startup, failure::Failure>;
     /// Reads the next input; waits forever without a limit.
     fn read(&mut self, limit: Option<time::Duration>) -> Result<call::Input, failure::Failure>;
+    /// Socket through which others may end the session.
+    fn socket(&self) -> sync::Arc<net::TcpStream>;
     /// Lets the session begin.
     fn welcome(&mut self) -> Result<(), failure::Failure>;
     /// Turns the session away.
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -24,16 +24,8 @@
 const DEMAND_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
 /// Time for which a connection that is no longer needed is kept.
 const RELEASE_PERIOD: std_time::Duration = std_time::Duration::from_secs(2);
-/// Shortest time between two rounds of asks for a budget.
-const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(20);
-/// Longest time between two rounds of asks while none is answered.
-const ASK_PERIOD_LIMIT: std_time::Duration = std_time::Duration::from_millis(640);
-/// Rounds without an answer after which peers of other regions are asked too.
-const NEAR_ROUNDS: u32 = 2;
 /// Time for a taker to confirm what it was given.
 const GIVE_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
-/// Rounds of asks without an answer after which none is expected.
-const BARREN_ROUNDS: u32 = 10;
 /// Time after which peers are worth asking again.
 const BARREN_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 /// Peers asked in one round.
@@ -352,7 +344,7 @@
             return false;
         };
         let rested = now.since(part.asked) > BARREN_PERIOD;
-        self.policy.moves() && (!self.grown || rested || part.barren < BARREN_ROUNDS)
+        self.policy.moves() && (!self.grown || rested || part.barren < sharing::BARREN_ROUNDS)
     }
 
     /// Units of a budget held here.
@@ -398,12 +390,11 @@
                 part.barren = 0;
                 continue;
             }
-            let pause = ASK_PERIOD * (1 << (part.barren / 2).min(5));
-            if now.since(part.asked) < pause.min(ASK_PERIOD_LIMIT) {
+            if now.since(part.asked) < self.policy.pause(part.barren) {
                 continue;
             }
-            let far = part.barren % (NEAR_ROUNDS + 1) == NEAR_ROUNDS;
-            let peers = if near.is_empty() || far { peers } else { near };
+            let far = near.is_empty() || !self.policy.is_near(part.barren);
+            let peers = if far { peers } else { near };
             part.asked = now;
             part.barren += 1;
             for _ in 0..ASK_FANOUT.min(peers.len()) {
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -13,6 +13,21 @@
 const REGION_RTT: std_time::Duration = std_time::Duration::from_micros(1_800);
 /// Round-trip time between regions, as the users state it.
 const FAR_RTT: std_time::Duration = std_time::Duration::from_millis(40);
+/// Part of an instance's connections that is not shared out.
+const RESERVE_PARTS: u64 = 5;
+/// Part of what the users tolerate beyond a limit that is given away: the rest
+/// covers requests on their way between two VMs.
+const ALLOWANCE_PARTS: u32 = 2;
+
+/// Rate and burst of a customer, with half of what the users tolerate beyond
+/// them, so that their division over VMs refuses no request within them.
+fn allowed(customer: &config::Customer, limits: &config::Limits) -> budget::Limit {
+    let over = customer.rate * limits.overage / 100 / ALLOWANCE_PARTS;
+    budget::Limit {
+        rate: u64::from(customer.rate + over),
+        burst: u64::from(customer.burst + limits.tolerance / ALLOWANCE_PARTS),
+    }
+}
 
 impl daemon::Daemon {
     /// Brings everything in line with the configuration in force.
@@ -21,10 +36,7 @@
         let revision = self.revision();
         self.configure_groups(&fleet);
         for (name, customer) in &fleet.customers {
-            let limit = budget::Limit {
-                rate: u64::from(customer.rate),
-                burst: u64::from(customer.burst),
-            };
+            let limit = allowed(customer, &self.setup.limits);
             let scarce = budget::Scarce::Rate(name.clone());
             self.budgets
                 .configure(scarce, budget::RATE_UNITS, limit, self.now);
@@ -50,7 +62,7 @@
                 self.owner.insert(instance.name.clone(), name.clone());
                 let scarce = budget::Scarce::Connections(instance.name.clone());
                 let limit = budget::Limit { rate: 0, burst: 0 };
-                let total = u64::from(instance.connections);
+                let total = self.shared_connections(instance);
                 self.budgets.configure(scarce, total, limit, self.now);
             }
             let distances = self.distances(config);
@@ -76,6 +88,17 @@
         self.remove_groups(fleet);
     }
 
+    /// Connections of an instance that the VMs share. Those of VMs that have
+    /// lost power stand for seconds, so where VMs do not poll over connections
+    /// of their own, a part stays free for the time after that.
+    fn shared_connections(&self, instance: &config::Instance) -> u64 {
+        let all = u64::from(instance.connections);
+        match self.arbiter {
+            group::Arbiter::Instances => all,
+            group::Arbiter::Store => all - all / RESERVE_PARTS,
+        }
+    }
+
     /// Least round-trip time to each instance, where the regions are known.
     fn distances(&self, config: &config::Group) -> Vec<(Name, std_time::Duration)> {
         let known = config.instances.iter().filter_map(|instance| {
--- a/components/kernel/src/group.rs
+++ b/components/kernel/src/group.rs
@@ -235,7 +235,9 @@
 
     /// A call to the leader that was sent at `sent` has failed.
     pub fn trouble(&mut self, sent: time::Time) {
-        self.troubled.get_or_insert(sent);
+        if self.arbiter == Arbiter::Store {
+            self.troubled.get_or_insert(sent);
+        }
     }
 
     /// Instances to poll now; counts them as polled.
--- a/components/kernel/src/handover.rs
+++ b/components/kernel/src/handover.rs
@@ -18,10 +18,10 @@
 
 /// Time after its sending for which a claim may be used. It covers the wait
 /// for a silent VM, the hold of the replicas and one order.
-const CLAIM_LIFETIME: std_time::Duration = std_time::Duration::from_millis(6_000);
+const CLAIM_LIFETIME: std_time::Duration = std_time::Duration::from_millis(6_500);
 /// Age of another VM's claim at which it is taken over: its lifetime, and the
 /// time limit of an order that was sent at its end.
-const TAKEOVER_AGE: std_time::Duration = std_time::Duration::from_millis(7_200);
+const TAKEOVER_AGE: std_time::Duration = std_time::Duration::from_millis(7_700);
 /// Time beyond the lease for bytes of a silent VM that are on their way.
 const CLOSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(300);
 /// Period of repeated calls to VMs that have not closed.
--- a/components/kernel/src/sharing.rs
+++ b/components/kernel/src/sharing.rs
@@ -1,7 +1,22 @@
 //! How much of a share a VM asks for and gives away.
 
+use std::time;
+
 use crate::plugin;
 
+/// Shortest time between two rounds of asks for a budget.
+const ASK_PERIOD: time::Duration = time::Duration::from_millis(20);
+/// Rounds of asks without an answer after which none is expected.
+pub const BARREN_ROUNDS: u32 = 10;
+/// Time between two rounds while none is expected.
+const BARREN_ASK_PERIOD: time::Duration = time::Duration::from_millis(100);
+/// Longest time between two rounds that `coarse` makes.
+const ASK_PERIOD_LIMIT: time::Duration = time::Duration::from_millis(640);
+/// Times that `coarse` doubles its pause.
+const ASK_DOUBLINGS: u32 = 5;
+/// Rounds without an answer after which `coarse` asks peers of other regions.
+const NEAR_ROUNDS: u32 = 2;
+
 /// Smallest part of its equal share that a VM keeps when it gives, in 1/16.
 const KEEP_PARTS: u64 = 1;
 /// Head room over its own demand that a VM keeps, in percent.
@@ -26,12 +41,28 @@
     fn want(&self, share: Share) -> u64;
     /// Units to give to a peer that wants `wanted`; at most what is held.
     fn spare(&self, share: Share, wanted: u64) -> u64;
+    /// Time between two rounds of asks after `barren` rounds without an answer.
+    fn pause(&self, barren: u32) -> time::Duration {
+        if barren < BARREN_ROUNDS {
+            ASK_PERIOD
+        } else {
+            BARREN_ASK_PERIOD
+        }
+    }
+    /// Whether the next round goes to peers of the own region only.
+    fn is_near(&self, _barren: u32) -> bool {
+        false
+    }
 }
 
 inventory::submit! {
     plugin::Sharing { name: "borrow", build: || Box::new(Borrow) }
 }
 
+inventory::submit! {
+    plugin::Sharing { name: "coarse", build: || Box::new(Coarse) }
+}
+
 inventory::submit! {
     plugin::Sharing { name: "static", build: || Box::new(Static) }
 }
@@ -60,6 +91,45 @@
     (share.equal * KEEP_PARTS / 16).max(1)
 }
 
+/// Part of the demand below which `coarse` asks, in percent.
+const ASK_PERCENT: u64 = 105;
+/// Part of the demand up to which it asks, in percent.
+const FILL_PERCENT: u64 = 135;
+/// Part of the demand that it keeps, in percent.
+const KEEP_PERCENT: u64 = 120;
+
+/// Shares move towards demand in larger steps, for many small shares whose
+/// demand swings: a VM asks late, for more, and keeps more than it needs.
+pub struct Coarse;
+
+impl SharePolicy for Coarse {
+    fn pause(&self, barren: u32) -> time::Duration {
+        let pause = ASK_PERIOD * (1 << (barren / 2).min(ASK_DOUBLINGS));
+        pause.min(ASK_PERIOD_LIMIT)
+    }
+
+    fn is_near(&self, barren: u32) -> bool {
+        barren % (NEAR_ROUNDS + 1) != NEAR_ROUNDS
+    }
+
+    fn moves(&self) -> bool {
+        true
+    }
+
+    fn want(&self, share: Share) -> u64 {
+        if share.held >= (share.demand * ASK_PERCENT / 100).max(floor(share)) {
+            return 0;
+        }
+        let target = (share.demand * FILL_PERCENT).div_ceil(100);
+        target.max(floor(share)).saturating_sub(share.held)
+    }
+
+    fn spare(&self, share: Share, wanted: u64) -> u64 {
+        let keep = (share.demand * KEEP_PERCENT / 100).max(floor(share));
+        share.held.saturating_sub(keep).min(wanted)
+    }
+}
+
 /// Equal shares that never move; the baseline.
 pub struct Static;
 
--- a/components/kernel/tests/common/mod.rs
+++ b/components/kernel/tests/common/mod.rs
@@ -181,6 +181,8 @@
                 idle: ms(1000),
                 wait: ms(3000),
                 queue: 64,
+                tolerance: 0,
+                overage: 0,
             },
             policy: config::Policy {
                 reads: name(&options.reads),
--- a/components/lab/src/plan.rs
+++ b/components/lab/src/plan.rs
@@ -137,6 +137,8 @@
                 idle: ms(10_000),
                 wait: ms(5000),
                 queue: 256,
+                tolerance: 0,
+                overage: 0,
             },
         }
     }
