--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -140,6 +140,7 @@
     refusal: Option<Span<String>>,
     platform: Option<Span<String>>,
     stop: Option<Span<String>>,
+    leave: Option<Span<String>>,
     drain: Option<Span<String>>,
     tick: Option<Span<String>>,
 }
@@ -206,6 +207,7 @@
             refusal: or_duration(raw.refusal.as_ref(), ms(2_000))?,
             platform: or_duration(raw.platform.as_ref(), ms(1_000))?,
             stop: or_duration(raw.stop.as_ref(), ms(30_000))?,
+            leave: or_duration(raw.leave.as_ref(), ms(0))?,
             drain: or_duration(raw.drain.as_ref(), ms(5_000))?,
             tick: or_duration(raw.tick.as_ref(), ms(2))?,
         })
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -60,6 +60,9 @@
     pub platform: time::Duration,
     /// Longest graceful stop.
     pub stop: time::Duration,
+    /// Part of the stop in which callers are still served, so that balancers
+    /// notice first that the daemon is not ready.
+    pub leave: time::Duration,
     /// Time for which a leaving instance may still get new transactions.
     pub drain: time::Duration,
     /// Period of looks at what is due.
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -209,7 +209,10 @@
 
     /// Finishes what runs, refuses what comes, and ends.
     pub fn stop(self) {
-        let limit = self.shell.settings.timing.stop;
+        let timing = &self.shell.settings.timing;
+        let (leave, limit) = (timing.leave, timing.stop.saturating_sub(timing.leave));
+        self.shell.drive(event::Event::Leave);
+        thread::sleep(leave);
         let deadline = time::Instant::now() + limit;
         self.shell.drive(event::Event::Stop);
         // What is still open after half of the time is ended in the other half.
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -18,6 +18,10 @@
 pub const RATE_UNITS: u64 = 1_000_000;
 /// Micro-tokens that a request costs.
 const TOKEN: u64 = 1_000_000;
+/// Part of its burst with which a VM starts where the users tolerate requests
+/// beyond a limit: two starts of the whole fleet within a window stay within
+/// the half of the tolerance that is not given away.
+const START_PARTS: u64 = 5;
 /// Asks remembered, so that late answers still count.
 const ASKS: usize = 4096;
 /// Period over which demand is averaged.
@@ -95,6 +99,8 @@
     measured: time::Time,
     asked: time::Time,
     barren: u32,
+    /// It has never held tokens.
+    fresh: bool,
 }
 
 impl Part {
@@ -257,6 +263,10 @@
         for part in self.parts.values_mut() {
             part.fill(now);
             part.units = part.equal;
+            if part.fresh && !self.polled {
+                part.level = part.level.max(part.cap() / START_PARTS);
+            }
+            part.fresh = false;
         }
     }
 
@@ -277,6 +287,7 @@
             measured: now,
             asked: time::Time::default(),
             barren: 0,
+            fresh: true,
         });
         part.fill(now);
         part.limit = limit;
--- a/components/kernel/src/consistency.rs
+++ b/components/kernel/src/consistency.rs
@@ -31,6 +31,8 @@
     pub rtt: u64,
     /// A connection waits for the customer, or one can be used by all.
     pub warm: bool,
+    /// Least round-trip time, in microseconds; 0 if not known.
+    pub distance: u64,
 }
 
 impl Candidate {
@@ -50,6 +52,10 @@
     plugin::Reads { name: "replica", build: || Box::new(ReplicaFirst) }
 }
 
+inventory::submit! {
+    plugin::Reads { name: "near", build: || Box::new(Near) }
+}
+
 inventory::submit! {
     plugin::Reads { name: "primary", build: || Box::new(PrimaryOnly) }
 }
@@ -77,6 +83,38 @@
     }
 }
 
+/// Times that the distance of an instance counts beyond its round trip, since
+/// traffic between failure domains and regions is paid by volume.
+const DISTANCE_WEIGHT: u64 = 3;
+/// Cost of a read at the primary over one at a replica, in microseconds: the
+/// primary alone can serve writes.
+const PRIMARY_COST_US: u64 = 15_000;
+
+/// Cheapest fresh instance: near ones first, a replica rather than the primary
+/// where both are near.
+pub struct Near;
+
+impl Near {
+    fn cost(candidate: &Candidate) -> u64 {
+        let primary = if candidate.primary {
+            PRIMARY_COST_US
+        } else {
+            0
+        };
+        candidate.cost() + candidate.distance * DISTANCE_WEIGHT + primary
+    }
+}
+
+impl ReadPolicy for Near {
+    fn choose(&self, candidates: &[Candidate]) -> Option<usize> {
+        let usable = candidates.iter().enumerate();
+        usable
+            .filter(|(_, candidate)| candidate.fresh && candidate.free > 0)
+            .min_by_key(|(_, candidate)| Self::cost(candidate))
+            .map(|(index, _)| index)
+    }
+}
+
 /// Every read at the primary; the baseline.
 pub struct PrimaryOnly;
 
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -86,6 +86,7 @@
     pub(crate) admission: &'static plugin::Admission,
     pub(crate) reads: Box<dyn consistency::ReadPolicy>,
     refused: bool,
+    leaving: bool,
     pub(crate) stopping: bool,
     stopped: bool,
 }
@@ -128,6 +129,7 @@
             admission,
             reads,
             refused: false,
+            leaving: false,
             stopping: false,
             stopped: false,
         })
@@ -161,6 +163,7 @@
                 self.revisions.submit(ticket, note, self.now);
                 self.step_revisions();
             }
+            event::Event::Leave => self.leaving = true,
             event::Event::Stop => self.stop(),
         }
         std::mem::take(&mut self.out)
@@ -185,7 +188,11 @@
 
     /// Whether new sessions are welcome.
     pub fn is_ready(&self) -> bool {
-        !self.stopping && self.revision() > 0 && self.is_fresh() && self.budgets.is_usable()
+        !self.leaving
+            && !self.stopping
+            && self.revision() > 0
+            && self.is_fresh()
+            && self.budgets.is_usable()
     }
 
     /// Floor of a session, if known.
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -104,6 +104,7 @@
                 busy,
                 rtt: pool.group.rtt(seen, self.now),
                 warm: true,
+                distance: seen.distance,
             });
         }
         all
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -111,6 +111,9 @@
     pub incarnation: u64,
     /// It has given up everything that it held.
     pub released: bool,
+    /// Others do not hear of it; if it lives, it writes its entry again.
+    #[serde(default)]
+    pub doubted: bool,
 }
 
 /// A row of the platform's table.
@@ -266,6 +269,8 @@
     Ordered(Name, Ordered),
     /// An operator's release note.
     Submitted(Ticket, sync::Arc<Note>),
+    /// A stop was asked for: not ready any more, but callers are served.
+    Leave,
     /// A graceful stop begins.
     Stop,
 }
--- a/components/kernel/src/group.rs
+++ b/components/kernel/src/group.rs
@@ -51,7 +51,7 @@
     /// Average round-trip time, in microseconds.
     pub rtt: u64,
     /// Least round-trip time, in microseconds; 0 if not known.
-    distance: u64,
+    pub distance: u64,
     /// Leaving: no new transaction.
     pub leaving: bool,
     /// Since when it is leaving.
@@ -460,7 +460,7 @@
                     .as_ref()
                     .is_none_or(|old| old.instance != ruling.instance)
         });
-        if appointed {
+        if appointed || (ruling.is_none() && self.ruling.is_some()) {
             self.changed = now;
             self.known = false;
             self.sample = None;
--- a/components/kernel/src/handover.rs
+++ b/components/kernel/src/handover.rs
@@ -34,7 +34,9 @@
 const HOLD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
 /// Period of polls of an instance that something waits for.
 const POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(40);
-/// Time for an instance to lead after the order; promotions take up to 1 s.
+/// Time in which a promotion takes effect; the users state up to 1 s.
+const PROMOTION_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_300);
+/// Time for an instance to lead after the order.
 const LEAD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(2_500);
 /// Pause before an order or a write without an answer is repeated.
 const REPEAT_PAUSE: std_time::Duration = std_time::Duration::from_millis(200);
@@ -168,8 +170,8 @@
     pub own: event::Member,
     /// VMs that go before this one.
     pub rank: usize,
-    /// Live VMs, this one included.
-    pub live: usize,
+    /// VMs in the list, this one included.
+    pub members: usize,
     /// VMs that may use the leader.
     pub peers: Vec<Name>,
     /// This VM stands in a list that is fresh, and goes on.
@@ -267,6 +269,11 @@
         self.token
     }
 
+    /// Whether nothing is under way here.
+    pub fn is_idle(&self) -> bool {
+        self.attempt.is_none() && self.closing.as_ref().is_none_or(|closing| closing.done)
+    }
+
     /// Leader whose last requests are waited for.
     pub fn leaving_leader(&self) -> Option<&Name> {
         let closing = self.closing.as_ref().filter(|closing| !closing.done)?;
@@ -428,7 +435,7 @@
             self.told = Some(facts.now);
             out.push(Step::Suspect);
         }
-        if self.count_suspects(facts) * 2 > facts.live && facts.now >= lost + stagger {
+        if self.count_suspects(facts) * 2 > facts.members && facts.now >= lost + stagger {
             self.start(false, facts, out);
         }
     }
@@ -480,17 +487,15 @@
     fn start(&mut self, planned: bool, facts: &Facts<'_>, out: &mut Vec<Step>) {
         let row = facts.leader.as_ref();
         let ruled = facts.group.ruling().map(|ruling| ruling.instance.clone());
-        let old = row.map(|row| row.instance.clone()).or(ruled);
-        let Some(instance) = old.clone().or(facts.group.instances.keys().next().cloned()) else {
-            return;
-        };
+        let told = facts.view.self_styled(facts.group.name()).cloned();
+        let old = row.and_then(|row| row.instance.clone()).or(ruled).or(told);
         self.number += 1;
         let term = facts
             .group
             .newest()
             .max(row.map(|row| row.term).unwrap_or_default());
         let leader = leader::Leader {
-            instance,
+            instance: old.clone(),
             term,
             start: row.map(|row| row.start).unwrap_or_default(),
             claim: Some(leader::Claim {
@@ -839,8 +844,12 @@
     let Some((instance, start)) = candidates.front().cloned() else {
         return holding(facts.now);
     };
-    let leads = status(facts, &instance, since)
-        .filter(|status| status.role == position::Role::Primary && status.term > attempt.term);
+    // An order for the present primary changes nothing.
+    let present = facts.now.since(since) >= PROMOTION_LIMIT;
+    let leads = status(facts, &instance, since).filter(|status| {
+        let newer = status.term > attempt.term || (present && status.term == attempt.term);
+        status.role == position::Role::Primary && newer
+    });
     if let Some(status) = leads {
         out.push(Step::Note(Note::Leads {
             instance: instance.clone(),
@@ -849,7 +858,7 @@
             took_ms: time::micros(facts.now.since(attempt.sent)) / 1000,
         }));
         let leader = leader::Leader {
-            instance,
+            instance: Some(instance),
             term: status.term,
             start,
             claim: None,
--- a/components/kernel/src/leader.rs
+++ b/components/kernel/src/leader.rs
@@ -13,8 +13,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Leader {
-    /// Instance that leads, or led before the claim.
-    pub instance: Name,
+    /// Instance that leads, or led before the claim; none if that is not known.
+    pub instance: Option<Name>,
     /// Its term; 0 if unknown.
     pub term: position::Term,
     /// Position at which its term began.
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -33,6 +33,8 @@
     pub delisted: Option<time::Time>,
     /// Run that has given up everything it held.
     pub released: u64,
+    /// Its entry was doubted.
+    doubted: bool,
 }
 
 impl Peer {
@@ -46,6 +48,7 @@
             epoch: 0,
             delisted: None,
             released: 0,
+            doubted: false,
         }
     }
 }
@@ -316,6 +319,11 @@
                 // It has just written to the store.
                 peer.touch = now;
             }
+            if peer.doubted && !entry.doubted {
+                // It has objected.
+                peer.touch = now;
+            }
+            peer.doubted = entry.doubted;
             if entry.released {
                 peer.released = peer.released.max(entry.incarnation);
             }
--- a/components/kernel/src/view.rs
+++ b/components/kernel/src/view.rs
@@ -236,8 +236,10 @@
                 until,
             });
         };
-        (row.claim.is_none() && version >= token).then(|| leader::Ruling {
-            instance: row.instance.clone(),
+        let settled = row.claim.is_none() && version >= token;
+        let instance = row.instance.clone().filter(|_| settled)?;
+        Some(leader::Ruling {
+            instance,
             term: row.term,
             start: Some(row.start),
             until,
--- a/components/kernel/src/watching.rs
+++ b/components/kernel/src/watching.rs
@@ -1,6 +1,6 @@
 //! What follows from a new view of the store.
 
-use std::time as std_time;
+use std::{collections, time as std_time};
 
 use config::Name;
 
@@ -8,8 +8,11 @@
 
 /// Time after which an unanswered registration is repeated.
 const REGISTER_PERIOD: std_time::Duration = std_time::Duration::from_secs(1);
-/// Shortest time between two removals of silent VMs.
-const EVICT_PERIOD: std_time::Duration = std_time::Duration::from_secs(1);
+/// Period of looks at VMs that are silent.
+const EVICT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time for a doubted VM to write its entry again: a feed and a write, with
+/// time for a store that is slow.
+const DOUBT_PERIOD: std_time::Duration = std_time::Duration::from_millis(1_500);
 
 /// Registration of this VM, and what was made known.
 #[derive(Debug, Default)]
@@ -18,6 +21,8 @@
     registering: Option<time::Time>,
     listed: bool,
     evicted: time::Time,
+    /// Doubted entries: version, and when they were first seen.
+    doubts: collections::BTreeMap<Name, (u64, time::Time)>,
 }
 
 impl Watching {
@@ -92,15 +97,27 @@
         if self.stopping || self.view.seen(view::Part::Rows).is_none() {
             return;
         }
+        let key = event::RowKey::Member(self.setup.vm.clone());
+        let doubted = match self.view.row(&key) {
+            Some((_, event::Row::Member(entry))) => entry.doubted,
+            _ => false,
+        };
         if self.members.is_listed() {
             self.watching.listed = true;
-            return self.evict();
+            if !doubted {
+                return self.evict();
+            }
         }
         let recent = |at: time::Time| self.now.since(at) < REGISTER_PERIOD;
         if self.watching.registering.is_some_and(recent) {
             return;
         }
-        let key = event::RowKey::Member(self.setup.vm.clone());
+        if self.members.is_listed() {
+            self.watching.registering = Some(self.now);
+            let row = event::Row::Member(self.own_entry(false));
+            let version = self.view.version(&key);
+            return self.out.push(event::Action::Store(version, row));
+        }
         let stored = match self.view.row(&key) {
             Some((_, event::Row::Member(entry))) => entry.incarnation,
             _ => 0,
@@ -129,6 +146,7 @@
             },
             incarnation: self.members.own().incarnation,
             released,
+            doubted: false,
         }
     }
 
@@ -142,25 +160,52 @@
         }
     }
 
+    /// Removes VMs that nobody hears of. One that only some cannot hear objects
+    /// to the doubt by writing its entry again.
     fn evict(&mut self) {
         let first = self.members.live(self.now).first() == Some(&self.members.own());
         let fresh = self.members.sees_majority(self.now);
         if !first || !fresh || self.now.since(self.watching.evicted) < EVICT_PERIOD {
             return;
         }
-        let silent = self.view.members().find(|(_, entry)| {
+        self.watching.evicted = self.now;
+        let silent = self.view.members().filter(|(_, entry)| {
             let peer = self.members.peers().get(&entry.vm.name);
             peer.is_some_and(|peer| self.members.is_silent(peer, self.now))
         });
-        let Some((version, entry)) = silent.map(|(version, entry)| (version, entry.clone())) else {
-            return;
+        let silent: Vec<_> = silent
+            .map(|(version, entry)| (version, entry.clone()))
+            .collect();
+        for (version, entry) in silent {
+            self.doubt(version, entry);
+        }
+    }
+
+    fn doubt(&mut self, version: u64, entry: event::Entry) {
+        let name = entry.vm.name.clone();
+        if !entry.doubted && !entry.released {
+            let row = event::Row::Member(event::Entry {
+                doubted: true,
+                ..entry
+            });
+            return self.out.push(event::Action::Store(version, row));
+        }
+        let since = match self.watching.doubts.get(&name) {
+            Some((known, since)) if *known == version => *since,
+            _ => {
+                self.watching.doubts.insert(name, (version, self.now));
+                return;
+            }
         };
-        self.watching.evicted = self.now;
+        if self.now.since(since) < DOUBT_PERIOD {
+            return;
+        }
+        self.watching.doubts.remove(&name);
         self.record(journal::Decision::Evicted {
-            vm: entry.vm.name.clone(),
+            vm: name.clone(),
             released: entry.released,
         });
-        let key = event::RowKey::Member(entry.vm.name);
+        let key = event::RowKey::Member(name);
         self.out.push(event::Action::Erase(version, key));
     }
 
@@ -245,6 +290,9 @@
 
     /// Moves the replacement of a group's leader on.
     pub(crate) fn step_handover(&mut self, group: &Name) {
+        if self.is_calm(group) {
+            return;
+        }
         let peers = self.closing_peers();
         let live = self.members.live(self.now);
         let own = self.members.own();
@@ -262,7 +310,7 @@
             now: self.now,
             own,
             rank: rank.unwrap_or(live.len()),
-            live: live.len(),
+            members: self.members.vms().len(),
             peers,
             usable: usable && !self.stopping,
             version,
@@ -281,6 +329,20 @@
         }
     }
 
+    /// Whether the leader of a group is as it should be.
+    fn is_calm(&self, group: &Name) -> bool {
+        let Some(pool) = self.pools.get(group) else {
+            return true;
+        };
+        let Some(ruling) = pool.group.ruling() else {
+            return false;
+        };
+        let leader = pool.group.instances.get(&ruling.instance);
+        let stays = leader.is_some_and(|seen| !seen.leaving);
+        let silence = pool.group.silence(self.now);
+        stays && silence.is_zero() && pool.handover.is_idle()
+    }
+
     /// VMs that may use a leader: those listed, and those delisted of late.
     fn closing_peers(&self) -> Vec<Name> {
         let lease = self.setup.timing.lease;
--- a/components/kernel/tests/common/mod.rs
+++ b/components/kernel/tests/common/mod.rs
@@ -171,6 +171,7 @@
                 refusal: ms(options.refusal_ms),
                 platform: ms(500),
                 stop: ms(10_000),
+                leave: ms(0),
                 drain: ms(5_000),
                 tick: ms(2),
             },
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -6,7 +6,7 @@
 
 use config::{Durability, Fleet, Group, Name, Reads, Route};
 use errors::Cause;
-use kernel::{Daemon, Setup, event, message, position, time, view};
+use kernel::{Daemon, Setup, event, leader, message, position, time, view};
 
 /// Step of the clock.
 const STEP: std_time::Duration = std_time::Duration::from_millis(5);
@@ -122,6 +122,7 @@
             refusal: ms(4500),
             platform: ms(500),
             stop: ms(6000),
+            leave: ms(0),
             drain: ms(6000),
             tick: STEP,
         },
@@ -332,6 +333,29 @@
         all.collect()
     }
 
+    /// Writes a claim of a run that has ended, and that took a replica for the
+    /// leader.
+    pub fn forget_leader(&mut self) {
+        self.version += 1;
+        let leader = leader::Leader {
+            instance: Some(name("db-1")),
+            term: position::Term(1),
+            start: position::Floor::default(),
+            claim: Some(leader::Claim {
+                holder: event::Member {
+                    vm: name("vm-1"),
+                    incarnation: 0,
+                },
+                number: 1,
+                planned: false,
+            }),
+        };
+        let row = event::Row::Leader(name("orders"), leader);
+        let key = row.key();
+        self.rows.insert(key.clone(), (self.version, row));
+        self.changes.push((self.version, key));
+    }
+
     /// Replaces a daemon by a new run on the same VM.
     pub fn restart(&mut self, vm: usize) {
         self.setups[vm].incarnation += 100;
@@ -515,7 +539,10 @@
         }
         self.orders.push((order.token, instance));
         let ordered = if self.instances[instance].alive {
-            self.post(PROMOTION, Parcel::Lead(instance));
+            // Nothing changes for the present primary.
+            if self.leader() != Some(instance) {
+                self.post(PROMOTION, Parcel::Lead(instance));
+            }
             event::Ordered::Accepted
         } else {
             event::Ordered::Rejected
--- a/components/lab/src/plan.rs
+++ b/components/lab/src/plan.rs
@@ -153,6 +153,7 @@
             refusal: ms(2000),
             platform: ms(500),
             stop: ms(10_000),
+            leave: ms(0),
             drain: ms(5_000),
             tick: ms(2),
         }
