--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -143,6 +143,7 @@
     leave: Option<Span<String>>,
     drain: Option<Span<String>>,
     tick: Option<Span<String>>,
+    rest: Option<Span<String>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -210,6 +211,7 @@
             leave: or_duration(raw.leave.as_ref(), ms(0))?,
             drain: or_duration(raw.drain.as_ref(), ms(5_000))?,
             tick: or_duration(raw.tick.as_ref(), ms(2))?,
+            rest: or_duration(raw.rest.as_ref(), ms(2))?,
         })
     }
 }
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -67,6 +67,8 @@
     pub drain: time::Duration,
     /// Period of looks at what is due.
     pub tick: time::Duration,
+    /// That period while nothing waits.
+    pub rest: time::Duration,
 }
 
 /// Names of the plug-ins that decide.
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -141,12 +141,15 @@
 
     fn start_ticks(&self) {
         let weak = sync::Arc::downgrade(&self.shell);
-        let period = self.shell.settings.timing.tick;
+        let pace = self.shell.pace.clone();
+        let timing = &self.shell.settings.timing;
+        let (period, rest) = (timing.tick, timing.rest.max(timing.tick));
         thread::spawn(move || {
             while let Some(shell) = weak.upgrade().filter(|shell| !shell.is_halted()) {
                 shell.drive(event::Event::Tick);
                 drop(shell);
                 thread::sleep(period);
+                pace.rest(rest - period);
             }
         });
     }
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -49,6 +49,32 @@
     idle: bool,
 }
 
+/// Lets the thread of the ticks rest while nothing waits for one.
+#[derive(Debug, Default)]
+pub struct Pace {
+    pressed: sync::Mutex<bool>,
+    changed: sync::Condvar,
+}
+
+impl Pace {
+    /// Notes whether something waits.
+    fn set(&self, pressed: bool) {
+        let mut own = lock(&self.pressed);
+        if pressed && !*own {
+            self.changed.notify_one();
+        }
+        *own = pressed;
+    }
+
+    /// Waits until something waits, or the time is over.
+    pub fn rest(&self, limit: std::time::Duration) {
+        let own = lock(&self.pressed);
+        let _ = self
+            .changed
+            .wait_timeout_while(own, limit, |pressed| !*pressed);
+    }
+}
+
 /// The part of a session that other threads reach.
 pub struct Handle {
     replies: sync::Mutex<collections::VecDeque<Reply>>,
@@ -147,6 +173,8 @@
     pub clock: clock::Clock,
     /// Metrics.
     pub metrics: telemetry::Metrics,
+    /// Whether ticks are needed soon.
+    pub pace: sync::Arc<Pace>,
     /// Connections to databases.
     pub pool: pool::Pool<wire::Server>,
     /// Login at databases.
@@ -185,6 +213,7 @@
         dialect: Option<&'static dialect::Dialect>,
     ) -> sync::Arc<Self> {
         let shell = sync::Arc::new(Self {
+            pace: sync::Arc::default(),
             pool: pool::Pool::default(),
             login: pool::Login::new(settings.address, settings.credentials.clone()),
             links: dialect.map(|dialect| links::Links::new(dialect, settings.address)),
@@ -218,6 +247,7 @@
     pub fn drive(&self, event: event::Event) {
         let mut kernel = lock(&self.kernel);
         let actions = kernel.handle(self.clock.now(), event);
+        self.pace.set(kernel.is_pressed());
         for action in actions {
             self.perform(action);
         }
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget.rs
@@ -363,9 +363,14 @@
         self.parts.get(scarce).map_or(0, |part| part.units)
     }
 
-    /// Whether this VM holds a part of every budget.
+    /// Whether this VM holds its part of the epoch, and a part of every rate;
+    /// connections may be too few for a part on every VM.
     pub fn is_usable(&self) -> bool {
-        self.grown && self.parts.values().all(|part| part.units > 0)
+        let held = |(scarce, part): (&Scarce, &Part)| match scarce {
+            Scarce::Rate(_) => part.units > 0,
+            Scarce::Connections(_) => part.units > 0 || part.equal == 0,
+        };
+        self.grown && self.parts.iter().all(held)
     }
 
     /// Tells how many connections are needed now. Demand follows at once
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -240,6 +240,17 @@
                 .sum::<usize>()
     }
 
+    /// Whether something waits for the next tick.
+    pub fn is_pressed(&self) -> bool {
+        let calm = |pool: &Pool| {
+            let replaced = !pool.handover.is_idle() || !pool.group.silence(self.now).is_zero();
+            let waiting = !pool.reads.is_empty() || !pool.writes.is_empty();
+            let commits = self.sessions.commits.get(pool.group.name());
+            !replaced && !waiting && commits.is_none_or(collections::BTreeMap::is_empty)
+        };
+        self.stopping || !self.lanes.is_empty() || !self.pools.values().all(calm)
+    }
+
     pub(crate) fn record(&mut self, decision: journal::Decision) {
         let entry = journal::Entry {
             at: self.now,
--- a/components/kernel/tests/common/mod.rs
+++ b/components/kernel/tests/common/mod.rs
@@ -174,6 +174,7 @@
                 leave: ms(0),
                 drain: ms(5_000),
                 tick: ms(2),
+                rest: ms(2),
             },
             limits: config::Limits {
                 message: 1 << 20,
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -125,6 +125,7 @@
             leave: ms(0),
             drain: ms(6000),
             tick: STEP,
+            rest: STEP,
         },
         limits: config::Limits {
             message: 1 << 20,
--- a/components/lab/src/plan.rs
+++ b/components/lab/src/plan.rs
@@ -156,6 +156,7 @@
             leave: ms(0),
             drain: ms(5_000),
             tick: ms(2),
+            rest: ms(2),
         }
     }
 
