--- /dev/null
+++ b/components/daemon/src/dialogue/held.rs
@@ -0,0 +1,179 @@
+//! Connections that a session holds for a statement or a transaction.
+
+use std::time as std_time;
+
+use config::Name;
+use errors::{Cause, Refusal};
+use kernel::{event, group, position};
+
+use super::{Dialogue, UNREACHABLE_RETRY_MS};
+use crate::{links, shell};
+
+/// A connection held for a statement or a transaction.
+pub(super) struct Held {
+    pub(super) link: Box<dyn dialect::Link>,
+    pub(super) request: event::RequestId,
+    pub(super) instance: Name,
+    pub(super) primary: bool,
+    pub(super) floor: Option<position::Floor>,
+}
+
+impl Dialogue {
+    /// Asks the kernel for a connection and opens it.
+    pub(super) fn obtain(
+        &mut self,
+        links: &links::Links,
+        access: event::Access,
+        mut retry: bool,
+        deadline: std_time::Instant,
+    ) -> Result<Held, Refusal> {
+        loop {
+            self.count += 1;
+            let number = self.count & ((1 << shell::REQUEST_BITS) - 1);
+            let request = event::RequestId(self.id.0 << shell::REQUEST_BITS | number);
+            self.shell.drive(event::Event::Requested(event::Request {
+                id: request,
+                session: self.id,
+                access,
+                retry,
+            }));
+            let grant = match self.handle.wait() {
+                shell::Reply::Grant(grant) => grant,
+                shell::Reply::Refuse(refusal) => return Err(refusal),
+                _ => return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS)),
+            };
+            let outcome = if self.shell.clock.now() >= grant.until {
+                event::Outcome::Clean
+            } else {
+                match self.connect(links, &grant, deadline) {
+                    Ok(link) => {
+                        return Ok(Held {
+                            link,
+                            request,
+                            instance: grant.instance,
+                            primary: grant.primary,
+                            floor: grant.floor,
+                        });
+                    }
+                    Err(dialect::Lost::Rejected(
+                        dialect::Reason::Crowded | dialect::Reason::Busy,
+                    )) => event::Outcome::Crowded,
+                    Err(_) => event::Outcome::Unsent,
+                }
+            };
+            self.release(request, outcome);
+            retry = true;
+            if std_time::Instant::now() >= deadline {
+                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
+            }
+        }
+    }
+
+    fn connect(
+        &self,
+        links: &links::Links,
+        grant: &event::Grant,
+        deadline: std_time::Instant,
+    ) -> Result<Box<dyn dialect::Link>, dialect::Lost> {
+        let fleet = self.shell.fleet();
+        let route = fleet.routes.get(self.route.as_str());
+        let address = self.shell.instance_address(&grant.instance);
+        let (Some(route), Some(address)) = (route, address) else {
+            return Err(dialect::Lost::Unsent);
+        };
+        let purpose = links::Purpose {
+            group: &route.group,
+            instance: &grant.instance,
+            address,
+            customer: self.customer.as_ref(),
+            values: &self.values,
+        };
+        let left = deadline.saturating_duration_since(std_time::Instant::now());
+        let taken = links.take(&purpose, grant.request, left);
+        if let Err(lost) = &taken {
+            log::info!(target: "request", instance = &**grant.instance, lost:%; "no connection");
+            links.clear(&grant.instance);
+        }
+        taken
+    }
+
+    /// Runs a statement, and tells the kernel of an instance that is slow to
+    /// answer.
+    pub(super) fn run(
+        &self,
+        held: &mut Held,
+        run: &dialect::Run<'_>,
+        limit: std_time::Duration,
+    ) -> Result<dialect::Reply, dialect::Lost> {
+        let patience = limit.min(group::DELAY);
+        match held.link.run(run, held.floor, patience) {
+            Err(dialect::Lost::Late) if patience < limit => {
+                let instance = held.instance.clone();
+                self.shell.drive(event::Event::Delayed(instance));
+                held.link.wait(limit - patience)
+            }
+            result => result,
+        }
+    }
+
+    /// Tells the kernel which position an instance has reached.
+    pub(super) fn observe(&self, held: &Held, sent: kernel::time::Time, reply: &dialect::Reply) {
+        if let Some(applied) = reply.applied {
+            self.shell.drive(event::Event::Observed(event::Observation {
+                instance: held.instance.clone(),
+                sent,
+                applied,
+            }));
+        }
+    }
+
+    fn release(&self, request: event::RequestId, outcome: event::Outcome) {
+        self.shell.drive(event::Event::Released(request, outcome));
+    }
+
+    /// Closes the connection of a request.
+    pub(super) fn discard(&self, links: &links::Links, held: Held, outcome: event::Outcome) {
+        links.drop_used(&held.instance, held.request);
+        drop(held.link);
+        // Others to the same instance may be as dead.
+        links.clear(&held.instance);
+        self.release(held.request, outcome);
+    }
+
+    /// Returns the connection of a request to the pool.
+    pub(super) fn give_back(&self, links: &links::Links, held: Held, outcome: event::Outcome) {
+        links.put(
+            &held.instance,
+            self.customer.as_ref(),
+            held.request,
+            held.link,
+        );
+        self.release(held.request, outcome);
+    }
+
+    /// Rolls a transaction back at its instance, by the caller's statement if
+    /// there is one.
+    pub(super) fn roll_back(
+        &self,
+        links: &links::Links,
+        mut held: Held,
+        call: Option<&dialect::Call>,
+    ) {
+        let (limit, _) = self.limits();
+        let rolled_back = match call {
+            Some(call) => {
+                let run = dialect::Run::Plain(call);
+                held.link.run(&run, None, limit).map(|_| ())
+            }
+            None => held.link.rollback(limit),
+        };
+        match rolled_back {
+            Ok(()) => self.give_back(links, held, event::Outcome::Clean),
+            Err(lost) => {
+                log::info!(target: "request", instance = &**held.instance, lost:%;
+                    "connection lost in a rollback");
+                self.discard(links, held, event::Outcome::Broken);
+            }
+        }
+    }
+}
--- a/components/daemon/src/dialogue.rs
+++ b/components/daemon/src/dialogue/mod.rs
@@ -9,10 +9,16 @@
 
 use config::Name;
 use errors::{Cause, Refusal};
-use kernel::{event, group, position};
+use kernel::{event, position};
 
 use crate::{links, shell};
 
+mod held;
+mod transaction;
+
+use held::Held;
+use transaction::Transaction;
+
 /// Pause before a statement that did not run is tried again.
 const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(15);
 /// Retry hint where no database could be reached, in ms.
@@ -22,28 +28,6 @@
 /// Times that a read is sent to instances on a route that states none.
 const READ_ATTEMPTS: u32 = 2;
 
-/// A connection held for a statement or a transaction.
-struct Held {
-    link: Box<dyn dialect::Link>,
-    request: event::RequestId,
-    instance: Name,
-    primary: bool,
-    floor: Option<position::Floor>,
-}
-
-/// A transaction of the caller.
-struct Transaction {
-    /// The caller's BEGIN.
-    begin: dialect::Call,
-    reads: bool,
-    held: Option<Held>,
-    wrote: bool,
-    /// It has failed and can only end.
-    failed: bool,
-    /// Why it failed, until the caller is told.
-    untold: Option<Refusal>,
-}
-
 /// What a call needs of an instance.
 struct Need<'a> {
     call: &'a dialect::Call,
@@ -178,21 +162,6 @@
         }
     }
 
-    /// Rolls back a transaction whose caller pauses for too long.
-    fn expire(&mut self, links: &links::Links) {
-        let Some(transaction) = &mut self.transaction else {
-            return;
-        };
-        if transaction.failed {
-            return;
-        }
-        transaction.failed = true;
-        transaction.untold = Some(Refusal::new(Cause::IdleTransaction, 0));
-        if let Some(held) = transaction.held.take() {
-            self.roll_back(links, held, None);
-        }
-    }
-
     fn state(&self) -> dialect::State {
         match &self.transaction {
             None => dialect::State::Idle,
@@ -281,40 +250,6 @@
         self.execute(links, &Need { call, run, writes })
     }
 
-    /// Ends a transaction without its writes; the caller does not wait for the
-    /// instance.
-    fn rollback(
-        &mut self,
-        links: &links::Links,
-        call: &dialect::Call,
-        refusal: Option<Refusal>,
-    ) -> Result<(), dialect::Failure> {
-        let ended = self.transaction.take();
-        let answered = match &refusal {
-            Some(refusal) => self.refuse(Some(call), refusal),
-            None => self.caller.complete(dialect::State::Idle),
-        };
-        if let Some(held) = ended.and_then(|transaction| transaction.held) {
-            self.roll_back(links, held, Some(call).filter(|_| refusal.is_none()));
-        }
-        answered
-    }
-
-    fn begin(&mut self, call: &dialect::Call, reads: bool) -> Result<(), dialect::Failure> {
-        if self.transaction.is_some() {
-            return self.refuse(None, &Refusal::new(Cause::Protocol, 0));
-        }
-        self.transaction = Some(Transaction {
-            begin: call.clone(),
-            reads,
-            held: None,
-            wrote: false,
-            failed: false,
-            untold: None,
-        });
-        self.caller.complete(dialect::State::Open)
-    }
-
     fn execute(&mut self, links: &links::Links, need: &Need<'_>) -> Result<(), dialect::Failure> {
         if self.transaction.is_some() {
             self.run_inside(links, need)
@@ -469,306 +404,6 @@
         }
     }
 
-    /// Runs a statement of a transaction, which begins with the first one.
-    fn run_inside(
-        &mut self,
-        links: &links::Links,
-        need: &Need<'_>,
-    ) -> Result<(), dialect::Failure> {
-        if let Err(refusal) = self.ensure_begun(links) {
-            return self.fail(Some(need.call), &refusal);
-        }
-        let (limit, _) = self.limits();
-        let Some(mut held) = self.transaction.as_mut().and_then(|t| t.held.take()) else {
-            return self.fail(Some(need.call), &Refusal::new(Cause::TransactionLost, 0));
-        };
-        let sent = self.shell.clock.now();
-        held.floor = None;
-        let adapted = held.link.adapt(&self.values, limit);
-        match adapted.and_then(|()| self.run(&mut held, &need.run, limit)) {
-            Ok(reply) => {
-                self.observe(&held, sent, &reply);
-                if let Some(transaction) = &mut self.transaction {
-                    transaction.wrote |= need.writes;
-                    transaction.failed = reply.state != dialect::State::Open;
-                    transaction.held = Some(held);
-                }
-                self.caller.pass(&reply)
-            }
-            Err(failure) => {
-                // The instance rolls back what its connection leaves behind.
-                log::info!(target: "request", id = need.call.id, instance = &**held.instance,
-                    failure:%; "transaction lost");
-                self.discard(links, held, event::Outcome::Broken);
-                self.fail(Some(need.call), &Refusal::new(Cause::TransactionLost, 0))
-            }
-        }
-    }
-
-    /// Answers a statement whose transaction cannot go on.
-    fn fail(
-        &mut self,
-        call: Option<&dialect::Call>,
-        refusal: &Refusal,
-    ) -> Result<(), dialect::Failure> {
-        if let Some(transaction) = &mut self.transaction {
-            transaction.failed = true;
-        }
-        self.note(telemetry::Outcome::Refused, std_time::Duration::ZERO);
-        self.refuse(call, refusal)
-    }
-
-    /// Begins the transaction at an instance, unless it has begun there.
-    fn ensure_begun(&mut self, links: &links::Links) -> Result<(), Refusal> {
-        let Some(transaction) = &self.transaction else {
-            return Ok(());
-        };
-        if transaction.held.is_some() {
-            let fresh = self.customer.is_none() || self.shell.inspect(kernel::Daemon::is_fresh);
-            let stale = Refusal::new(Cause::TransactionLost, UNREACHABLE_RETRY_MS);
-            return if fresh { Ok(()) } else { Err(stale) };
-        }
-        let (begin, reads) = (transaction.begin.clone(), transaction.reads);
-        let access = if reads {
-            event::Access::Read
-        } else {
-            event::Access::Write
-        };
-        let deadline = std_time::Instant::now() + self.shell.settings.limits.wait;
-        let (limit, _) = self.limits();
-        let mut retry = false;
-        loop {
-            let mut held = self.obtain(links, access, retry, deadline)?;
-            retry = true;
-            let sent = self.shell.clock.now();
-            match held
-                .link
-                .run(&dialect::Run::Plain(&begin), held.floor, limit)
-            {
-                Ok(reply) if reply.state == dialect::State::Open => {
-                    self.observe(&held, sent, &reply);
-                    if let Some(transaction) = &mut self.transaction {
-                        transaction.held = Some(held);
-                    }
-                    return Ok(());
-                }
-                Ok(reply) => {
-                    self.observe(&held, sent, &reply);
-                    let outcome = self.retry_outcome(&held, &reply);
-                    let outcome = outcome.unwrap_or(event::Outcome::Clean);
-                    self.give_back(links, held, outcome);
-                    pause(outcome);
-                }
-                Err(_) => self.discard(links, held, event::Outcome::Broken),
-            }
-            if std_time::Instant::now() >= deadline {
-                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
-            }
-        }
-    }
-
-    fn commit(
-        &mut self,
-        links: &links::Links,
-        call: &dialect::Call,
-    ) -> Result<(), dialect::Failure> {
-        if let Err(refusal) = self.ensure_begun(links) {
-            let held = self.transaction.take().and_then(|t| t.held);
-            if let Some(held) = held {
-                self.roll_back(links, held, None);
-            }
-            return self.refuse(Some(call), &refusal);
-        }
-        let begun = std_time::Instant::now();
-        let (limit, _) = self.limits();
-        let Some(Transaction {
-            held: Some(mut held),
-            wrote,
-            ..
-        }) = self.transaction.take()
-        else {
-            return self.refuse(Some(call), &Refusal::new(Cause::TransactionLost, 0));
-        };
-        let sent = self.shell.clock.now();
-        held.floor = None;
-        match self.run(&mut held, &dialect::Run::Plain(call), limit) {
-            Ok(reply) => {
-                self.observe(&held, sent, &reply);
-                let need = Need {
-                    call,
-                    run: dialect::Run::Plain(call),
-                    writes: wrote,
-                };
-                self.finish(links, &need, held, &reply, begun)
-            }
-            Err(failure) => {
-                log::info!(target: "request", id = call.id, instance = &**held.instance,
-                    failure:%; "commit lost");
-                self.discard(links, held, event::Outcome::Broken);
-                let cause = if wrote {
-                    Cause::OutcomeUnknown
-                } else {
-                    Cause::TransactionLost
-                };
-                self.note(telemetry::Outcome::Unknown, begun.elapsed());
-                self.refuse(Some(call), &Refusal::new(cause, 0))
-            }
-        }
-    }
-
-    /// Asks the kernel for a connection and opens it.
-    fn obtain(
-        &mut self,
-        links: &links::Links,
-        access: event::Access,
-        mut retry: bool,
-        deadline: std_time::Instant,
-    ) -> Result<Held, Refusal> {
-        loop {
-            self.count += 1;
-            let number = self.count & ((1 << shell::REQUEST_BITS) - 1);
-            let request = event::RequestId(self.id.0 << shell::REQUEST_BITS | number);
-            self.shell.drive(event::Event::Requested(event::Request {
-                id: request,
-                session: self.id,
-                access,
-                retry,
-            }));
-            let grant = match self.handle.wait() {
-                shell::Reply::Grant(grant) => grant,
-                shell::Reply::Refuse(refusal) => return Err(refusal),
-                _ => return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS)),
-            };
-            let outcome = if self.shell.clock.now() >= grant.until {
-                event::Outcome::Clean
-            } else {
-                match self.connect(links, &grant, deadline) {
-                    Ok(link) => {
-                        return Ok(Held {
-                            link,
-                            request,
-                            instance: grant.instance,
-                            primary: grant.primary,
-                            floor: grant.floor,
-                        });
-                    }
-                    Err(dialect::Lost::Rejected(
-                        dialect::Reason::Crowded | dialect::Reason::Busy,
-                    )) => event::Outcome::Crowded,
-                    Err(_) => event::Outcome::Unsent,
-                }
-            };
-            self.release(request, outcome);
-            retry = true;
-            if std_time::Instant::now() >= deadline {
-                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
-            }
-        }
-    }
-
-    fn connect(
-        &self,
-        links: &links::Links,
-        grant: &event::Grant,
-        deadline: std_time::Instant,
-    ) -> Result<Box<dyn dialect::Link>, dialect::Lost> {
-        let fleet = self.shell.fleet();
-        let route = fleet.routes.get(self.route.as_str());
-        let address = self.shell.instance_address(&grant.instance);
-        let (Some(route), Some(address)) = (route, address) else {
-            return Err(dialect::Lost::Unsent);
-        };
-        let purpose = links::Purpose {
-            group: &route.group,
-            instance: &grant.instance,
-            address,
-            customer: self.customer.as_ref(),
-            values: &self.values,
-        };
-        let left = deadline.saturating_duration_since(std_time::Instant::now());
-        let taken = links.take(&purpose, grant.request, left);
-        if let Err(lost) = &taken {
-            log::info!(target: "request", instance = &**grant.instance, lost:%; "no connection");
-            links.clear(&grant.instance);
-        }
-        taken
-    }
-
-    /// Runs a statement, and tells the kernel of an instance that is slow to
-    /// answer.
-    fn run(
-        &self,
-        held: &mut Held,
-        run: &dialect::Run<'_>,
-        limit: std_time::Duration,
-    ) -> Result<dialect::Reply, dialect::Lost> {
-        let patience = limit.min(group::DELAY);
-        match held.link.run(run, held.floor, patience) {
-            Err(dialect::Lost::Late) if patience < limit => {
-                let instance = held.instance.clone();
-                self.shell.drive(event::Event::Delayed(instance));
-                held.link.wait(limit - patience)
-            }
-            result => result,
-        }
-    }
-
-    /// Tells the kernel which position an instance has reached.
-    fn observe(&self, held: &Held, sent: kernel::time::Time, reply: &dialect::Reply) {
-        if let Some(applied) = reply.applied {
-            self.shell.drive(event::Event::Observed(event::Observation {
-                instance: held.instance.clone(),
-                sent,
-                applied,
-            }));
-        }
-    }
-
-    fn release(&self, request: event::RequestId, outcome: event::Outcome) {
-        self.shell.drive(event::Event::Released(request, outcome));
-    }
-
-    /// Closes the connection of a request.
-    fn discard(&self, links: &links::Links, held: Held, outcome: event::Outcome) {
-        links.drop_used(&held.instance, held.request);
-        drop(held.link);
-        // Others to the same instance may be as dead.
-        links.clear(&held.instance);
-        self.release(held.request, outcome);
-    }
-
-    /// Returns the connection of a request to the pool.
-    fn give_back(&self, links: &links::Links, held: Held, outcome: event::Outcome) {
-        links.put(
-            &held.instance,
-            self.customer.as_ref(),
-            held.request,
-            held.link,
-        );
-        self.release(held.request, outcome);
-    }
-
-    /// Rolls a transaction back at its instance, by the caller's statement if
-    /// there is one.
-    fn roll_back(&self, links: &links::Links, mut held: Held, call: Option<&dialect::Call>) {
-        let (limit, _) = self.limits();
-        let rolled_back = match call {
-            Some(call) => {
-                let run = dialect::Run::Plain(call);
-                held.link.run(&run, None, limit).map(|_| ())
-            }
-            None => held.link.rollback(limit),
-        };
-        match rolled_back {
-            Ok(()) => self.give_back(links, held, event::Outcome::Clean),
-            Err(lost) => {
-                log::info!(target: "request", instance = &**held.instance, lost:%;
-                    "connection lost in a rollback");
-                self.discard(links, held, event::Outcome::Broken);
-            }
-        }
-    }
-
     /// Rolls back what the caller leaves behind.
     fn abandon(&mut self, links: &links::Links) {
         if let Some(held) = self.transaction.take().and_then(|t| t.held) {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialogue;
 mod failure;
 mod links;
+mod locks;
 mod monitor;
 mod pool;
 mod requests;
--- a/components/daemon/src/links.rs
+++ b/components/daemon/src/links.rs
@@ -5,7 +5,7 @@
 use config::Name;
 use kernel::event;
 
-use crate::{monitor, pool, shell};
+use crate::{locks, monitor, pool};
 
 /// Name under which the daemon itself connects.
 const OWN_USER: &str = "ebonygauge";
@@ -83,7 +83,7 @@
             None => self.connect(purpose, purpose.user(), limit),
         };
         let adapted = link.and_then(|mut link| {
-            let mut used = shell::lock(&self.used);
+            let mut used = locks::lock(&self.used);
             let sockets = used.entry(purpose.instance.clone()).or_default();
             sockets.insert(request, link.socket());
             drop(used);
@@ -131,14 +131,14 @@
     }
 
     fn unuse(&self, instance: &Name, request: event::RequestId) {
-        if let Some(sockets) = shell::lock(&self.used).get_mut(instance) {
+        if let Some(sockets) = locks::lock(&self.used).get_mut(instance) {
             sockets.remove(&request);
         }
     }
 
     /// Breaks all connections to an instance.
     pub fn sever(&self, instance: &Name) {
-        if let Some(sockets) = shell::lock(&self.used).get(instance) {
+        if let Some(sockets) = locks::lock(&self.used).get(instance) {
             for socket in sockets.values() {
                 let _ = socket.shutdown(net::Shutdown::Both);
             }
@@ -148,7 +148,7 @@
 
     /// Instances with connections in use.
     pub fn instances(&self) -> Vec<Name> {
-        shell::lock(&self.used).keys().cloned().collect()
+        locks::lock(&self.used).keys().cloned().collect()
     }
 
     /// Sets the number of connections to an instance.
--- a/components/daemon/src/pool.rs
+++ b/components/daemon/src/pool.rs
@@ -4,7 +4,7 @@
 
 use config::Name;
 
-use crate::shell;
+use crate::locks;
 
 /// Time to open a connection.
 pub const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
@@ -55,7 +55,7 @@
     /// Takes the idle connection of a login that is nearest to what is needed,
     /// or makes room for a new one.
     pub fn take(&self, instance: &Name, login: &str, distance: &dyn Fn(&C) -> usize) -> Option<C> {
-        let mut shelves = shell::lock(&self.shelves);
+        let mut shelves = locks::lock(&self.shelves);
         let shelf = shelves.entry(instance.clone()).or_default();
         shelf.used += 1;
         loop {
@@ -81,7 +81,7 @@
     /// Takes an idle connection of any login for a short call; none if a new one
     /// must be opened, and an error if there is no room for one.
     pub fn take_any(&self, instance: &Name) -> Result<Option<(String, C)>, Full> {
-        let mut shelves = shell::lock(&self.shelves);
+        let mut shelves = locks::lock(&self.shelves);
         let shelf = shelves.entry(instance.clone()).or_default();
         while let Some((login, connection)) = shelf.idle.pop() {
             if connection.is_usable() {
@@ -98,7 +98,7 @@
 
     /// Puts a connection back, or closes it if it is over the limit.
     pub fn put(&self, instance: &Name, login: &str, connection: C) {
-        let mut shelves = shell::lock(&self.shelves);
+        let mut shelves = locks::lock(&self.shelves);
         let shelf = shelves.entry(instance.clone()).or_default();
         shelf.used = shelf.used.saturating_sub(1);
         if connection.is_reusable() && shelf.used + shelf.idle.len() < shelf.limit {
@@ -108,7 +108,7 @@
 
     /// A connection taken before was closed.
     pub fn drop_used(&self, instance: &Name) {
-        let mut shelves = shell::lock(&self.shelves);
+        let mut shelves = locks::lock(&self.shelves);
         if let Some(shelf) = shelves.get_mut(instance) {
             shelf.used = shelf.used.saturating_sub(1);
         }
@@ -116,7 +116,7 @@
 
     /// Sets the limit of an instance and closes what is over it.
     pub fn resize(&self, instance: &Name, limit: u32) {
-        let mut shelves = shell::lock(&self.shelves);
+        let mut shelves = locks::lock(&self.shelves);
         let shelf = shelves.entry(instance.clone()).or_default();
         shelf.limit = usize::try_from(limit).unwrap_or(usize::MAX);
         let room = shelf.limit.saturating_sub(shelf.used);
@@ -125,7 +125,7 @@
 
     /// Closes the idle connections to an instance.
     pub fn clear(&self, instance: &Name) {
-        let mut shelves = shell::lock(&self.shelves);
+        let mut shelves = locks::lock(&self.shelves);
         if let Some(shelf) = shelves.get_mut(instance) {
             shelf.idle.clear();
         }
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -6,7 +6,7 @@
 use errors::{Cause, Refusal};
 use kernel::{event, position};
 
-use crate::shell;
+use crate::{locks, shell};
 
 /// Pause before a request that did not run is tried again.
 const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(20);
@@ -335,11 +335,11 @@
             process: held.server.process,
             secret: held.server.secret,
         };
-        *shell::lock(&self.handle.target) = Some(target);
+        *locks::lock(&self.handle.target) = Some(target);
         held.server.dirty |= !plan.settings.is_empty() || plan.discard;
         let access = held.access;
         let result = wire::run(plan, &mut held.server, &mut self.caller, access, continued);
-        *shell::lock(&self.handle.target) = None;
+        *locks::lock(&self.handle.target) = None;
         match result {
             Ok(exchange) if exchange.read_only && access == event::Access::Read => {
                 self.give_back(held, event::Outcome::ReadOnly);
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -9,16 +9,11 @@
 use errors::{Cause, Refusal};
 use kernel::{event, journal, position, time};
 
-use crate::{clock, links, monitor, pool, table};
+use crate::{clock, links, locks, monitor, pool, table};
 
 /// Bits of a request's identity below its session's.
 pub const REQUEST_BITS: u32 = 24;
 
-/// Locks, whatever a panicking thread left behind.
-pub fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
 /// What the kernel tells a session.
 #[derive(Debug)]
 pub enum Reply {
@@ -59,7 +54,7 @@
 impl Pace {
     /// Notes whether something waits.
     fn set(&self, pressed: bool) {
-        let mut own = lock(&self.pressed);
+        let mut own = locks::lock(&self.pressed);
         if pressed && !*own {
             self.changed.notify_one();
         }
@@ -68,7 +63,7 @@
 
     /// Waits until something waits, or the time is over.
     pub fn rest(&self, limit: std::time::Duration) {
-        let own = lock(&self.pressed);
+        let own = locks::lock(&self.pressed);
         let _ = self
             .changed
             .wait_timeout_while(own, limit, |pressed| !*pressed);
@@ -113,13 +108,13 @@
     }
 
     fn push(&self, reply: Reply) {
-        lock(&self.replies).push_back(reply);
+        locks::lock(&self.replies).push_back(reply);
         self.arrived.notify_one();
     }
 
     /// Waits for the kernel's next word.
     pub fn wait(&self) -> Reply {
-        let replies = lock(&self.replies);
+        let replies = locks::lock(&self.replies);
         let waited = self
             .arrived
             .wait_while(replies, |replies| replies.is_empty());
@@ -131,7 +126,7 @@
 
     /// Ends the session; at once if it waits for its caller.
     fn end(&self, refusal: Refusal) {
-        let mut ending = lock(&self.ending);
+        let mut ending = locks::lock(&self.ending);
         ending.refusal.get_or_insert(refusal);
         let at_once = ending.idle || (!self.answers && refusal.cause != Cause::Stopping);
         if let Some(socket) = self.socket.as_ref().filter(|_| at_once) {
@@ -142,7 +137,7 @@
     /// Notes whether the session is between transactions; returns why it must
     /// end, if it must.
     pub fn rest(&self, idle: bool) -> Option<Refusal> {
-        let mut ending = lock(&self.ending);
+        let mut ending = locks::lock(&self.ending);
         ending.idle = idle;
         let refusal = ending.refusal?;
         (idle || refusal.cause != Cause::Stopping).then_some(refusal)
@@ -150,12 +145,12 @@
 
     /// Why the session must end, if it must.
     pub fn ending(&self) -> Option<Refusal> {
-        lock(&self.ending).refusal
+        locks::lock(&self.ending).refusal
     }
 
     /// Cancels the statement in flight, and waits until that is settled.
     fn cancel(&self) {
-        let target = lock(&self.target);
+        let target = locks::lock(&self.target);
         if let Some(target) = *target {
             let _ = wire::cancel(&target.endpoint, target.process, target.secret);
         }
@@ -245,7 +240,7 @@
 
     /// Gives an event to the kernel and carries out what follows.
     pub fn drive(&self, event: event::Event) {
-        let mut kernel = lock(&self.kernel);
+        let mut kernel = locks::lock(&self.kernel);
         let actions = kernel.handle(self.clock.now(), event);
         self.pace.set(kernel.is_pressed());
         for action in actions {
@@ -255,7 +250,7 @@
 
     /// Looks at the kernel.
     pub fn inspect<T>(&self, look: impl FnOnce(&kernel::Daemon) -> T) -> T {
-        look(&lock(&self.kernel))
+        look(&locks::lock(&self.kernel))
     }
 
     fn perform(&self, action: event::Action) {
@@ -295,7 +290,7 @@
                 self.monitor(&instance, monitor::Call::Depose(term));
             }
             event::Action::Answer(ticket, verdict) => {
-                if let Some(waiting) = lock(&self.tickets).remove(&ticket) {
+                if let Some(waiting) = locks::lock(&self.tickets).remove(&ticket) {
                     let _ = waiting.send(verdict);
                 }
             }
@@ -306,7 +301,7 @@
             },
             event::Action::Record(entry) => self.record(&entry),
             event::Action::Stopped => {
-                *lock(&self.stopped.0) = true;
+                *locks::lock(&self.stopped.0) = true;
                 self.stopped.1.notify_all();
             }
         }
@@ -327,7 +322,7 @@
     }
 
     fn monitor(&self, instance: &Name, call: monitor::Call) {
-        if let Some(monitor) = lock(&self.monitors).get(instance) {
+        if let Some(monitor) = locks::lock(&self.monitors).get(instance) {
             monitor.call(call);
         }
     }
@@ -352,7 +347,7 @@
     }
 
     fn configure(&self, fleet: sync::Arc<Fleet>) {
-        let mut monitors = lock(&self.monitors);
+        let mut monitors = locks::lock(&self.monitors);
         let instances = || {
             let groups = fleet.groups.iter();
             groups.flat_map(|(name, group)| group.instances.iter().map(move |i| (name, i)))
@@ -380,7 +375,7 @@
 
     /// Address of an instance.
     pub fn instance_address(&self, instance: &Name) -> Option<net::SocketAddr> {
-        lock(&self.monitors)
+        locks::lock(&self.monitors)
             .get(instance)
             .map(|monitor| monitor.address)
     }
@@ -419,14 +414,14 @@
 
     /// Makes a connection in use known, so that it can be broken.
     pub fn use_socket(&self, instance: &Name, request: event::RequestId, server: &wire::Server) {
-        let mut used = lock(&self.used);
+        let mut used = locks::lock(&self.used);
         let sockets = used.entry(instance.clone()).or_default();
         sockets.insert(request, server.control.clone());
     }
 
     /// The connection is no longer in use.
     pub fn unuse_socket(&self, instance: &Name, request: event::RequestId) {
-        if let Some(sockets) = lock(&self.used).get_mut(instance) {
+        if let Some(sockets) = locks::lock(&self.used).get_mut(instance) {
             sockets.remove(&request);
         }
     }
@@ -435,7 +430,7 @@
         if let Some(links) = &self.links {
             return links.sever(instance);
         }
-        if let Some(sockets) = lock(&self.used).get(instance) {
+        if let Some(sockets) = locks::lock(&self.used).get(instance) {
             for socket in sockets.values() {
                 let _ = socket.shutdown(net::Shutdown::Both);
             }
@@ -518,14 +513,14 @@
     pub fn submit(&self, note: config::Note) -> event::Verdict {
         let ticket = event::Ticket(self.next.fetch_add(1, atomic::Ordering::Relaxed));
         let (sender, receiver) = mpsc::channel();
-        lock(&self.tickets).insert(ticket, sender);
+        locks::lock(&self.tickets).insert(ticket, sender);
         self.drive(event::Event::Submitted(ticket, sync::Arc::new(note)));
         receiver.recv().unwrap_or(event::Verdict::Unknown)
     }
 
     /// Waits until the kernel has stopped, or the time is over.
     pub fn wait_stopped(&self, limit: std::time::Duration) {
-        let stopped = lock(&self.stopped.0);
+        let stopped = locks::lock(&self.stopped.0);
         let _ = self
             .stopped
             .1
@@ -535,7 +530,7 @@
     /// Ends the background threads.
     pub fn halt(&self) {
         self.halted.store(true, atomic::Ordering::SeqCst);
-        lock(&self.monitors).clear();
+        locks::lock(&self.monitors).clear();
         if let Some(peers) = self.peers.get() {
             peers.close();
         }
@@ -549,7 +544,7 @@
             }
             handle.push(Reply::Refuse(Refusal::new(Cause::Stopping, 0)));
         }
-        let mut instances: Vec<_> = lock(&self.used).keys().cloned().collect();
+        let mut instances: Vec<_> = locks::lock(&self.used).keys().cloned().collect();
         instances.extend(self.links.iter().flat_map(links::Links::instances));
         for instance in instances {
             self.sever(&instance);
--- a/components/daemon/src/workers.rs
+++ b/components/daemon/src/workers.rs
@@ -7,7 +7,7 @@
     thread,
 };
 
-use crate::shell;
+use crate::locks;
 
 /// Stack of a session's thread, in bytes.
 const STACK_SIZE: usize = 128 * 1024;
@@ -29,7 +29,7 @@
 impl Workers {
     /// Runs a job on a thread that waits, or on a new one.
     pub fn run(&self, job: Job) -> io::Result<()> {
-        let waiting = shell::lock(&self.idle).pop();
+        let waiting = locks::lock(&self.idle).pop();
         let worker = match waiting {
             Some(worker) => worker,
             None => self.spawn()?,
@@ -47,7 +47,7 @@
         let work = move || {
             while let Ok(job) = jobs.recv() {
                 job();
-                let mut idle = shell::lock(&idle);
+                let mut idle = locks::lock(&idle);
                 if closed.load(atomic::Ordering::SeqCst) || idle.len() >= IDLE_LIMIT {
                     return;
                 }
@@ -61,7 +61,7 @@
     /// Ends the threads that wait, and the others after their sessions.
     pub fn close(&self) {
         self.closed.store(true, atomic::Ordering::SeqCst);
-        for worker in shell::lock(&self.idle).drain(..) {
+        for worker in locks::lock(&self.idle).drain(..) {
             let _ = worker.send(Box::new(|| {}));
         }
     }
--- /dev/null
+++ b/components/kernel/src/epochs.rs
@@ -0,0 +1,156 @@
+//! Epochs of the budgets: who shares, and from when.
+
+use std::time as std_time;
+
+use crate::{daemon, event, group, journal, message, time};
+
+/// Shortest time between two budget epochs.
+const EPOCH_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time in which VMs that start together register with the store.
+const RULED_EPOCH_PAUSE: std_time::Duration = std_time::Duration::from_millis(250);
+/// VMs up to which each confirms an epoch to all others; beyond, the exchange
+/// with peers carries it.
+const DIRECT_MEMBERS: usize = 16;
+/// Shortest time between two epochs that only return lost shares.
+const LEAK_PAUSE: std_time::Duration = std_time::Duration::from_secs(3);
+/// Time that a VM lets each VM before it propose the next epoch.
+const EPOCH_STAGGER: std_time::Duration = std_time::Duration::from_millis(500);
+
+impl daemon::Daemon {
+    pub(crate) fn adopt_epoch(&mut self, epoch: &event::Epoch) {
+        if !self.budgets.adopt(epoch, self.now) {
+            return;
+        }
+        self.control.adopted = self.now;
+        self.control.proposed = None;
+        self.control.wanted = None;
+        self.resize();
+        self.record_epoch(false);
+        self.ping(true);
+        self.confirm_epoch();
+        self.grow();
+    }
+
+    /// Tells the members of a small epoch at once that it is in use here.
+    fn confirm_epoch(&mut self) {
+        let ruled = self.arbiter == group::Arbiter::Store;
+        let members = &self.budgets.epoch().members;
+        if !ruled || members.len() > DIRECT_MEMBERS {
+            return;
+        }
+        let own = self.members.own();
+        let others: Vec<_> = members
+            .iter()
+            .filter(|member| member.vm != own.vm)
+            .map(|member| member.vm.clone())
+            .collect();
+        let report = message::Report {
+            heard: Vec::new(),
+            positions: Vec::new(),
+            ..self.own_report()
+        };
+        for vm in others {
+            let ping = message::Message::Ping(self.now, report.clone());
+            self.send(vm, ping);
+        }
+    }
+
+    fn record_epoch(&mut self, grown: bool) {
+        let (number, members) = {
+            let epoch = self.budgets.epoch();
+            (epoch.number, epoch.members.len())
+        };
+        self.record(journal::Decision::Epoch {
+            number,
+            members,
+            grown,
+        });
+    }
+
+    /// Takes up the shares of the epoch once nobody can use older ones.
+    pub(crate) fn grow(&mut self) {
+        let number = self.budgets.epoch().number;
+        if number == 0 || self.budgets.is_grown() {
+            return;
+        }
+        let own = self.members.own();
+        let confirmed = self.budgets.holders().all(|holder| {
+            let peer = self.members.peers().get(&holder.vm);
+            let reached =
+                peer.is_some_and(|p| p.incarnation == holder.incarnation && p.epoch >= number);
+            *holder == own || reached || self.members.is_gone(holder, self.now)
+        });
+        if !confirmed {
+            return;
+        }
+        self.budgets.grow(self.now);
+        self.resize();
+        self.record_epoch(true);
+        self.admit_lanes();
+        let groups: Vec<_> = self.pools.keys().cloned().collect();
+        for group in groups {
+            self.dispatch(&group);
+        }
+    }
+
+    /// Proposes a new epoch when the live VMs are no longer its members.
+    pub(crate) fn propose_epoch(&mut self) {
+        let Some(version) = self.control.version else {
+            return;
+        };
+        if !self.members.sees_majority(self.now) || !self.epoch_outdated() {
+            self.control.wanted = None;
+            return;
+        }
+        let wanted = *self.control.wanted.get_or_insert(self.now);
+        let live = self.members.live(self.now);
+        let own = self.members.own();
+        let rank = live.iter().position(|member| *member == own).unwrap_or(0);
+        let pause = match self.arbiter {
+            group::Arbiter::Instances => EPOCH_PAUSE,
+            group::Arbiter::Store => RULED_EPOCH_PAUSE,
+        };
+        let delay = pause + EPOCH_STAGGER * u32::try_from(rank).unwrap_or(u32::MAX);
+        let recent = |at: time::Time| self.now.since(at) < EPOCH_PAUSE * 2;
+        // A VM that has no share yet does not wait.
+        let first = self.budgets.epoch().number == 0 || !self.budgets.is_joined();
+        let calm = !recent(self.control.adopted) || first;
+        let repeated = self.control.proposed.is_some_and(recent);
+        if self.now < wanted + delay || !calm || repeated {
+            return;
+        }
+        self.control.proposed = Some(self.now);
+        let row = event::Row::Epoch(self.next_epoch(live));
+        self.out.push(event::Action::Store(version, row));
+    }
+
+    fn epoch_outdated(&self) -> bool {
+        let epoch = self.budgets.epoch();
+        let live = self.members.live(self.now);
+        let joined = live.iter().any(|member| !epoch.members.contains(member));
+        let left = epoch
+            .members
+            .iter()
+            .any(|member| self.members.is_gone(member, self.now));
+        let calm = self.now.since(self.control.adopted) >= LEAK_PAUSE;
+        joined || left || (calm && self.budgets.has_leaked(self.now))
+    }
+
+    fn next_epoch(&self, live: Vec<event::Member>) -> event::Epoch {
+        let epoch = self.budgets.epoch();
+        let mut former: Vec<_> = self
+            .budgets
+            .holders()
+            .filter(|holder| !live.contains(holder))
+            .filter(|holder| !self.members.is_gone(holder, self.now))
+            .cloned()
+            .collect();
+        former.sort();
+        former.dedup();
+        event::Epoch {
+            number: epoch.number + 1,
+            members: live,
+            former,
+        }
+    }
+}
--- /dev/null
+++ b/components/kernel/src/group/ruled.rs
@@ -0,0 +1,246 @@
+//! What is known of a group whose leader the platform's store arbitrates: the
+//! ruling, positions told with answers, and instances that are left alone.
+
+use std::time as std_time;
+
+use config::Name;
+
+use super::{Arbiter, Confirmation, Group, HISTORY, RTT_WEIGHT, Seen};
+use crate::{leader, position, time};
+
+/// Pause after a connection that failed; doubled with every further one.
+const DOWN_PAUSE: std_time::Duration = std_time::Duration::from_millis(40);
+/// Longest such pause.
+const DOWN_PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(640);
+/// Time without an answer after which a statement counts as delayed.
+pub const DELAY: std_time::Duration = std_time::Duration::from_millis(250);
+/// Time after which a measured round-trip time of an unused instance is halved.
+const RTT_HALF_LIFE: std_time::Duration = std_time::Duration::from_millis(500);
+/// Halvings after which it counts for nothing.
+const RTT_HALVINGS: u64 = 20;
+/// Time between two positions in the history.
+const HISTORY_SPACING: std_time::Duration = std_time::Duration::from_millis(40);
+/// Time for which a replica that lacked a floor is not asked for it again.
+const BEHIND_PERIOD: std_time::Duration = std_time::Duration::from_millis(60);
+
+impl Group {
+    /// Takes over the least round-trip times.
+    pub fn place(&mut self, distances: &[(Name, std_time::Duration)]) {
+        for (name, distance) in distances {
+            if let Some(seen) = self.instances.get_mut(name) {
+                seen.distance = time::micros(*distance);
+            }
+        }
+    }
+
+    /// Round-trip time to expect, in microseconds. Where the store arbitrates,
+    /// an instance that has not been used for a while counts as less loaded.
+    pub fn rtt(&self, seen: &Seen, now: time::Time) -> u64 {
+        if self.arbiter == Arbiter::Instances {
+            return seen.rtt;
+        }
+        let unused = time::micros(now.since(seen.sent)) / time::micros(RTT_HALF_LIFE);
+        let decayed = seen.rtt >> unused.min(RTT_HALVINGS);
+        decayed.max(seen.distance)
+    }
+
+    /// A connection to the instance could not be opened.
+    pub fn failed(&mut self, instance: &Name, now: time::Time) {
+        let Some(seen) = self.instances.get_mut(instance) else {
+            return;
+        };
+        let pause = match seen.down {
+            // Several requests have found it down at once.
+            Some((until, _)) if now < until => return,
+            Some((_, pause)) => (pause * 2).min(DOWN_PAUSE_LIMIT),
+            None => DOWN_PAUSE,
+        };
+        seen.down = Some((now + pause, pause));
+    }
+
+    /// Whether connections to the instance are not worth trying now.
+    pub fn is_down(&self, instance: &Name, now: time::Time) -> bool {
+        let seen = self.instances.get(instance);
+        let down = seen.and_then(|seen| seen.down);
+        down.is_some_and(|(until, _)| now < until)
+    }
+
+    /// A statement at the instance has waited for `DELAY`.
+    pub fn delayed(&mut self, instance: &Name, now: time::Time) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.rtt = seen.rtt.max(time::micros(DELAY));
+        }
+        if self.primary() == Some(instance) {
+            self.trouble(now);
+            self.want(now);
+        }
+    }
+
+    /// A call to the leader that was sent at `sent` has failed.
+    pub fn trouble(&mut self, sent: time::Time) {
+        if self.arbiter == Arbiter::Store {
+            self.troubled.get_or_insert(sent);
+        }
+    }
+
+    /// A poll has ended without a status; whether the instance is known to live.
+    pub fn unpolled(&mut self, instance: &Name, live: bool) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.pending = seen.pending.saturating_sub(1);
+        }
+        if live {
+            self.lives(instance);
+        }
+    }
+
+    /// The instance has shown that it lives, without telling its position.
+    pub fn lives(&mut self, instance: &Name) {
+        if self.primary() == Some(instance) {
+            self.troubled = None;
+        }
+    }
+
+    /// Takes in a position that the leader had reached when a request sent at
+    /// `sent` arrived there; seen here or by a peer.
+    pub fn learn(&mut self, sent: time::Time, floor: position::Floor) {
+        let index = self.history.partition_point(|(at, _)| *at <= sent);
+        let near = |other: Option<&(time::Time, position::Floor)>| {
+            other.is_some_and(|(at, _)| {
+                at.since(sent) < HISTORY_SPACING && sent.since(*at) < HISTORY_SPACING
+            })
+        };
+        let before = index.checked_sub(1).and_then(|i| self.history.get(i));
+        if near(before) || near(self.history.get(index)) {
+            return;
+        }
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+            return self.learn(sent, floor);
+        }
+        self.history.insert(index, (sent, floor));
+    }
+
+    /// Newest position of the leader that is known, with its time.
+    pub fn newest_position(&self) -> Option<(time::Time, position::Floor)> {
+        self.history.back().copied()
+    }
+
+    /// Confirmation that follows from the store's ruling. A ruling without a
+    /// term needs an answer of the leader first.
+    pub(super) fn ruled(&self, now: time::Time) -> Option<Confirmation> {
+        let ruling = self.ruling.as_ref()?;
+        let known = self.newest != position::Term::default();
+        (known && ruling.until > now).then(|| Confirmation {
+            term: self.newest,
+            primary: ruling.instance.clone(),
+            until: ruling.until,
+        })
+    }
+
+    /// Takes over what the store rules; true if the leader or term changed.
+    pub fn rule(&mut self, ruling: Option<leader::Ruling>, now: time::Time) -> bool {
+        let leads = |ruling: &leader::Ruling| (ruling.instance.clone(), ruling.term);
+        let changed = self.ruling.as_ref().map(leads) != ruling.as_ref().map(leads);
+        let appointed = ruling.as_ref().is_some_and(|ruling| {
+            ruling.term > self.newest
+                || self
+                    .ruling
+                    .as_ref()
+                    .is_none_or(|old| old.instance != ruling.instance)
+        });
+        if appointed || (ruling.is_none() && self.ruling.is_some()) {
+            self.changed = now;
+            self.known = false;
+            self.sample = None;
+            self.unled = false;
+            self.troubled = None;
+        }
+        if let Some(ruling) = &ruling {
+            self.newest = self.newest.max(ruling.term);
+        }
+        self.ruling = ruling;
+        changed
+    }
+
+    /// What the store rules.
+    pub fn ruling(&self) -> Option<&leader::Ruling> {
+        self.ruling.as_ref()
+    }
+
+    /// Takes in the position that an instance told with an answer.
+    pub fn placed(
+        &mut self,
+        now: time::Time,
+        instance: &Name,
+        sent: time::Time,
+        applied: position::Floor,
+    ) {
+        let leads = self.primary() == Some(instance);
+        let Some(seen) = self.instances.get_mut(instance) else {
+            return;
+        };
+        let rtt = time::micros(now.since(sent));
+        seen.rtt = if seen.rtt == 0 {
+            rtt
+        } else {
+            (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
+        };
+        seen.sent = seen.sent.max(sent);
+        seen.down = None;
+        if seen.behind.is_some_and(|(_, floor)| floor <= applied) {
+            seen.behind = None;
+        }
+        let role = if leads && !self.unled {
+            position::Role::Primary
+        } else {
+            position::Role::Replica
+        };
+        let status = position::Status {
+            term: applied.term,
+            promised: applied.term,
+            role,
+            received: applied.lsn,
+            replayed: applied.lsn,
+            start: position::Lsn::default(),
+        };
+        self.observe(now, instance, sent, status);
+    }
+
+    /// The instance lacked a floor.
+    pub fn lacked(&mut self, now: time::Time, instance: &Name, floor: position::Floor) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.behind = Some((now, floor));
+        }
+    }
+
+    /// Whether the instance has lacked this floor, or a lower one, of late.
+    pub fn is_behind(&self, instance: &Name, floor: position::Floor, now: time::Time) -> bool {
+        let behind = self.instances.get(instance).and_then(|seen| seen.behind);
+        behind.is_some_and(|(at, lacked)| floor >= lacked && now.since(at) < BEHIND_PERIOD)
+    }
+
+    /// Oldest known position of the leader that is no older than `age`. It
+    /// covers all that was acknowledged before.
+    pub fn floor_of_age(
+        &self,
+        age: std_time::Duration,
+        now: time::Time,
+    ) -> Option<position::Floor> {
+        let fresh = |(sent, _): &&(time::Time, position::Floor)| now.since(*sent) <= age;
+        self.history
+            .iter()
+            .find(fresh)
+            .map(|(_, floor)| self.translate(*floor))
+    }
+
+    /// Floor in the frame of the newest term: what a change of leader has
+    /// rolled back cannot be waited for.
+    pub fn translate(&self, floor: position::Floor) -> position::Floor {
+        let ruling = self.ruling.as_ref();
+        let start = ruling.and_then(|ruling| ruling.start.map(|start| (ruling.term, start)));
+        match start {
+            Some((term, start)) if floor.term < term => floor.min(start),
+            _ => floor,
+        }
+    }
+}
--- a/components/kernel/src/handover.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -11,11 +11,15 @@
 use std::{collections, time as std_time};
 
 use config::Name;
-use derive_more::Display;
-use serde::{Deserialize, Serialize};
 
 use crate::{event, group, leader, message, position, time, view};
 
+mod note;
+mod stage;
+
+pub use note::{Note, Reason};
+use stage::{Attempt, Stage};
+
 /// Time after its sending for which a claim may be used. It covers the wait
 /// for a silent VM, the hold of the replicas and one order.
 const CLAIM_LIFETIME: std_time::Duration = std_time::Duration::from_millis(6_500);
@@ -28,16 +32,6 @@
 const CLOSE_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
 /// Time for the last transactions at a leader that is replaced as planned.
 const DRAIN_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_000);
-/// Time for a replica to reach the last position of a planned replacement.
-const CATCH_UP_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
-/// Time for the replicas to confirm that they are held.
-const HOLD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
-/// Period of polls of an instance that something waits for.
-const POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(40);
-/// Time in which a promotion takes effect; the users state up to 1 s.
-const PROMOTION_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_300);
-/// Time for an instance to lead after the order.
-const LEAD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(2_500);
 /// Pause before an order or a write without an answer is repeated.
 const REPEAT_PAUSE: std_time::Duration = std_time::Duration::from_millis(200);
 /// Time for the store to answer a claim.
@@ -51,90 +45,6 @@
 /// Times that a suspicion is told within its validity.
 const TELL_PARTS: u32 = 3;
 
-/// What happened in a replacement, and why.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "step")]
-pub enum Note {
-    /// This VM asked for the claim.
-    #[display("claiming: {}, silent for {silent_ms} ms, {suspects} VMs agree", if *planned { "it is leaving" } else { "it is lost" })]
-    Claiming {
-        /// The leader is leaving.
-        planned: bool,
-        /// Time without an answer of the leader, in ms.
-        silent_ms: u64,
-        /// VMs that suspect it, this one included.
-        suspects: usize,
-    },
-    /// The claim stands.
-    #[display("claimed with token {token}, {peers} VMs to close")]
-    Claimed {
-        /// Fencing token.
-        token: u64,
-        /// VMs that must stop using the leader.
-        peers: usize,
-    },
-    /// No VM uses the old leader any more.
-    #[display("closed after {waited_ms} ms, {silent} VMs waited out")]
-    Closed {
-        /// Time since the claim, in ms.
-        waited_ms: u64,
-        /// VMs that did not answer.
-        silent: usize,
-    },
-    /// An instance was chosen.
-    #[display("ordering promotion of {instance} at {floor} with token {token}")]
-    Ordering {
-        /// Instance.
-        instance: Name,
-        /// Its position.
-        floor: position::Floor,
-        /// Fencing token.
-        token: u64,
-    },
-    /// The platform refused an order.
-    #[display("promotion of {instance} rejected")]
-    Rejected {
-        /// Instance.
-        instance: Name,
-    },
-    /// The new leader answers as primary.
-    #[display("{instance} leads term {term} from {start}, {took_ms} ms after the claim")]
-    Leads {
-        /// Instance.
-        instance: Name,
-        /// Its term.
-        term: position::Term,
-        /// Position at which the term began.
-        start: position::Floor,
-        /// Time since the claim was sent, in ms.
-        took_ms: u64,
-    },
-    /// The replacement was given up here.
-    #[display("given up: {why}")]
-    GivenUp {
-        /// Reason.
-        why: Reason,
-    },
-}
-
-/// Why a replacement was given up.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Reason {
-    /// Another VM was faster.
-    #[display("another VM has changed the row")]
-    Overtaken,
-    /// The store did not answer.
-    #[display("the store does not answer")]
-    Unanswered,
-    /// The claim is too old to be used.
-    #[display("the claim has expired")]
-    Expired,
-    /// This VM no longer stands in the list, or is stopping.
-    #[display("this VM may not replace leaders now")]
-    Unusable,
-}
-
 /// What to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -196,50 +106,6 @@
     pub view: &'a view::View,
 }
 
-#[derive(Debug)]
-enum Stage {
-    Claiming,
-    Closing {
-        since: time::Time,
-        waiting: collections::BTreeSet<Name>,
-        told: Option<time::Time>,
-    },
-    CatchingUp {
-        since: time::Time,
-    },
-    Holding {
-        since: time::Time,
-        asked: bool,
-        held: collections::BTreeMap<Name, position::Floor>,
-    },
-    Ordering {
-        candidates: collections::VecDeque<(Name, position::Floor)>,
-        sent: Option<time::Time>,
-    },
-    Confirming {
-        candidates: collections::VecDeque<(Name, position::Floor)>,
-        since: time::Time,
-    },
-    Recording {
-        leader: leader::Leader,
-        sent: Option<time::Time>,
-    },
-}
-
-/// A replacement by this VM.
-#[derive(Debug)]
-struct Attempt {
-    number: u64,
-    planned: bool,
-    base: u64,
-    old: Option<Name>,
-    term: position::Term,
-    sent: time::Time,
-    token: Option<u64>,
-    polled: time::Time,
-    stage: Stage,
-}
-
 /// The leader is being closed here.
 #[derive(Debug)]
 struct Closing {
@@ -583,16 +449,16 @@
                 attempt.stage = self.close_others(&attempt, since, waiting, told, facts, out);
             }
             Stage::CatchingUp { since } => {
-                attempt.stage = catch_up(&mut attempt, since, facts, out);
+                attempt.stage = stage::catch_up(&mut attempt, since, facts, out);
             }
             Stage::Holding { since, asked, held } => {
-                attempt.stage = hold(&attempt, since, asked, held, facts, out);
+                attempt.stage = stage::hold(&attempt, since, asked, held, facts, out);
             }
             Stage::Ordering { candidates, sent } => {
-                attempt.stage = order(&attempt, candidates, sent, facts, out);
+                attempt.stage = stage::order(&attempt, candidates, sent, facts, out);
             }
             Stage::Confirming { candidates, since } => {
-                attempt.stage = confirm(&mut attempt, candidates, since, facts, out);
+                attempt.stage = stage::confirm(&mut attempt, candidates, since, facts, out);
             }
             Stage::Recording { leader, sent } => {
                 let due = |at: time::Time| facts.now.since(at) >= REPEAT_PAUSE;
@@ -656,7 +522,7 @@
             return if attempt.planned {
                 Stage::CatchingUp { since: facts.now }
             } else {
-                holding(facts.now)
+                stage::holding(facts.now)
             };
         }
         if told.is_none_or(|at| facts.now.since(at) >= CLOSE_PERIOD) {
@@ -677,207 +543,3 @@
         }
     }
 }
-
-fn holding(now: time::Time) -> Stage {
-    Stage::Holding {
-        since: now,
-        asked: false,
-        held: collections::BTreeMap::new(),
-    }
-}
-
-/// Status of an instance from a poll sent since `since`.
-fn status(facts: &Facts<'_>, instance: &Name, since: time::Time) -> Option<position::Status> {
-    let seen = facts.group.instances.get(instance)?;
-    let (sent, status) = seen.status?;
-    (sent >= since).then_some(status)
-}
-
-fn poll_all(attempt: &mut Attempt, facts: &Facts<'_>, names: Vec<Name>, out: &mut Vec<Step>) {
-    if facts.now.since(attempt.polled) >= POLL_PERIOD {
-        attempt.polled = facts.now;
-        out.extend(names.into_iter().map(Step::Poll));
-    }
-}
-
-/// Waits until a replica holds everything that the old leader has committed.
-fn catch_up(
-    attempt: &mut Attempt,
-    since: time::Time,
-    facts: &Facts<'_>,
-    out: &mut Vec<Step>,
-) -> Stage {
-    let target = attempt
-        .old
-        .as_ref()
-        .and_then(|old| status(facts, old, since))
-        .map(|status| status.received);
-    let mut ready = collections::VecDeque::new();
-    for (name, seen) in &facts.group.instances {
-        let old = attempt.old.as_ref() == Some(name);
-        let Some(status) = status(facts, name, since).filter(|_| !old && !seen.leaving) else {
-            continue;
-        };
-        if target.is_some_and(|target| status.received >= target) {
-            let floor = position::Floor {
-                term: status.term,
-                lsn: status.received,
-            };
-            ready.push_back((name.clone(), floor));
-        }
-    }
-    if !ready.is_empty() {
-        if let Some(old) = &attempt.old {
-            out.push(Step::Depose(old.clone(), attempt.term.next()));
-        }
-        return Stage::Ordering {
-            candidates: rank(ready.into_iter().collect(), facts),
-            sent: None,
-        };
-    }
-    if facts.now.since(since) >= CATCH_UP_TIMEOUT {
-        return holding(facts.now);
-    }
-    let names = facts.group.instances.keys().cloned().collect();
-    poll_all(attempt, facts, names, out);
-    Stage::CatchingUp { since }
-}
-
-/// Holds the replicas, so that their positions cannot change any more.
-fn hold(
-    attempt: &Attempt,
-    since: time::Time,
-    asked: bool,
-    held: collections::BTreeMap<Name, position::Floor>,
-    facts: &Facts<'_>,
-    out: &mut Vec<Step>,
-) -> Stage {
-    let names = facts.group.instances.keys();
-    let replicas: Vec<_> = names
-        .filter(|name| attempt.old.as_ref() != Some(*name))
-        .collect();
-    if !asked {
-        let term = attempt.term.next();
-        for name in &replicas {
-            out.push(Step::Hold((*name).clone(), term));
-        }
-        if let Some(old) = &attempt.old {
-            out.push(Step::Depose(old.clone(), term));
-        }
-    }
-    let complete = !replicas.is_empty() && held.len() >= replicas.len();
-    let late = facts.now.since(since) >= HOLD_TIMEOUT;
-    if complete || (late && !held.is_empty()) {
-        return Stage::Ordering {
-            candidates: rank(held.into_iter().collect(), facts),
-            sent: None,
-        };
-    }
-    if late {
-        return holding(facts.now);
-    }
-    Stage::Holding {
-        since,
-        asked: true,
-        held,
-    }
-}
-
-/// Candidates by position; of equal ones those that stay and are near go first.
-fn rank(
-    mut held: Vec<(Name, position::Floor)>,
-    facts: &Facts<'_>,
-) -> collections::VecDeque<(Name, position::Floor)> {
-    held.sort_by_key(|(name, floor)| {
-        let leaving = facts
-            .group
-            .instances
-            .get(name)
-            .is_none_or(|seen| seen.leaving);
-        let domain = facts.view.instance(name).map(|entry| &entry.domain);
-        let near = domain.and_then(|domain| facts.domains.get(domain)) == Some(facts.region);
-        (std::cmp::Reverse(*floor), leaving, !near)
-    });
-    held.into()
-}
-
-fn order(
-    attempt: &Attempt,
-    candidates: collections::VecDeque<(Name, position::Floor)>,
-    sent: Option<time::Time>,
-    facts: &Facts<'_>,
-    out: &mut Vec<Step>,
-) -> Stage {
-    let Some((instance, floor)) = candidates.front() else {
-        return holding(facts.now);
-    };
-    if sent.is_some_and(|at| facts.now.since(at) < REPEAT_PAUSE) {
-        return Stage::Ordering { candidates, sent };
-    }
-    let token = attempt.token.unwrap_or_default();
-    out.push(Step::Note(Note::Ordering {
-        instance: instance.clone(),
-        floor: *floor,
-        token,
-    }));
-    out.push(Step::Order(event::Order {
-        group: facts.group.name().clone(),
-        instance: instance.clone(),
-        token,
-        until: attempt.sent + CLAIM_LIFETIME,
-    }));
-    // Repeated only after the answer, or the time limit of the call.
-    Stage::Ordering {
-        candidates,
-        sent: Some(facts.now + CLAIM_LIFETIME),
-    }
-}
-
-/// Waits until the chosen instance says that it leads.
-fn confirm(
-    attempt: &mut Attempt,
-    candidates: collections::VecDeque<(Name, position::Floor)>,
-    since: time::Time,
-    facts: &Facts<'_>,
-    out: &mut Vec<Step>,
-) -> Stage {
-    let Some((instance, start)) = candidates.front().cloned() else {
-        return holding(facts.now);
-    };
-    // An order for the present primary changes nothing.
-    let present = facts.now.since(since) >= PROMOTION_LIMIT;
-    let leads = status(facts, &instance, since).filter(|status| {
-        let newer = status.term > attempt.term || (present && status.term == attempt.term);
-        status.role == position::Role::Primary && newer
-    });
-    if let Some(status) = leads {
-        out.push(Step::Note(Note::Leads {
-            instance: instance.clone(),
-            term: status.term,
-            start,
-            took_ms: time::micros(facts.now.since(attempt.sent)) / 1000,
-        }));
-        let leader = leader::Leader {
-            instance: Some(instance),
-            term: status.term,
-            start,
-            claim: None,
-        };
-        out.push(Step::Write(
-            attempt.token.unwrap_or_default(),
-            leader.clone(),
-        ));
-        return Stage::Recording {
-            leader,
-            sent: Some(facts.now),
-        };
-    }
-    if facts.now.since(since) >= LEAD_TIMEOUT {
-        return Stage::Ordering {
-            candidates,
-            sent: None,
-        };
-    }
-    poll_all(attempt, facts, vec![instance], out);
-    Stage::Confirming { candidates, since }
-}
