Derive the periods from the bounds that the users state

Cause: revokeTimeoutMs and drainTimeoutMs stood as constants in the template, so a deployment with shorter bounds would have broken them.

Change: timing.revocation and timing.draining carry the bounds; refusal is nine tenths of the first and bounds lease, drain four fifths of the second. One copy of the average of round-trip times.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -141,6 +141,8 @@
     platform: Option<Span<String>>,
     stop: Option<Span<String>>,
     leave: Option<Span<String>>,
+    revocation: Option<Span<String>>,
+    draining: Option<Span<String>>,
     drain: Option<Span<String>>,
     tick: Option<Span<String>>,
     rest: Option<Span<String>>,
@@ -155,6 +157,13 @@
     arbiter: Option<Span<String>>,
 }
 
+/// Part of the bound on withdrawn keys that is used, in percent: the age of what
+/// is known is exact.
+const REVOCATION_PERCENT: u32 = 90;
+/// Part of the bound on leaving instances that is used, in percent: that they
+/// leave may be learnt a second late, when a watch has just broken.
+const DRAINING_PERCENT: u32 = 80;
+
 const fn ms(n: u64) -> time::Duration {
     time::Duration::from_millis(n)
 }
@@ -200,16 +209,33 @@
     type Error = (u64, failure::Problem);
 
     fn try_from(raw: &RawTiming) -> Result<Self, Self::Error> {
+        // A bound that is promised leaves time for what is on its way.
+        let part = |bound: time::Duration, percent| bound * percent / 100;
+        let refusal = match &raw.revocation {
+            Some(bound) => part(duration(bound)?, REVOCATION_PERCENT),
+            None => ms(2_000),
+        };
+        let drain = match &raw.draining {
+            Some(bound) => part(duration(bound)?, DRAINING_PERCENT),
+            None => ms(5_000),
+        };
+        let refusal = or_duration(raw.refusal.as_ref(), refusal)?;
+        let lease = or_duration(raw.lease.as_ref(), ms(300))?;
         Ok(Self {
-            lease: or_duration(raw.lease.as_ref(), ms(300))?,
+            // Leaders are not known for longer than keys.
+            lease: if raw.revocation.is_some() {
+                lease.min(refusal)
+            } else {
+                lease
+            },
             poll: or_duration(raw.poll.as_ref(), ms(50))?,
             suspect: or_duration(raw.suspect.as_ref(), ms(250))?,
             gossip: or_duration(raw.gossip.as_ref(), ms(100))?,
-            refusal: or_duration(raw.refusal.as_ref(), ms(2_000))?,
+            refusal,
             platform: or_duration(raw.platform.as_ref(), ms(1_000))?,
             stop: or_duration(raw.stop.as_ref(), ms(30_000))?,
             leave: or_duration(raw.leave.as_ref(), ms(0))?,
-            drain: or_duration(raw.drain.as_ref(), ms(5_000))?,
+            drain: or_duration(raw.drain.as_ref(), drain)?,
             tick: or_duration(raw.tick.as_ref(), ms(2))?,
             rest: or_duration(raw.rest.as_ref(), ms(2))?,
         })
--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -105,3 +105,24 @@
     assert!(!fleet.holds("tienda", &KeyDigest::of(b"foo")));
     assert!(withdrawal.apply(&fleet).is_err(), "the key is gone");
 }
+
+#[test]
+fn promised_bounds_set_the_periods_below_them() {
+    let text = include_str!("fixtures/settings.yaml");
+    let (head, _) = text.split_once("timing:").unwrap_or((text, ""));
+    let read = |timing: &str| {
+        let text = format!("{head}\ntiming: {{{timing}}}\n");
+        let origin = config::Origin("settings".into());
+        config::read_settings(&text, &origin)
+            .expect("valid settings")
+            .timing
+    };
+    let ms = std::time::Duration::from_millis;
+    let timing = read("revocation: 3000ms, draining: 10s, lease: 4200ms");
+    assert_eq!(timing.refusal, ms(2700));
+    assert_eq!(timing.lease, ms(2700));
+    assert_eq!(timing.drain, ms(8000));
+    let timing = read("revocation: 5000ms, lease: 4200ms, drain: 1s");
+    assert_eq!(timing.lease, ms(4200));
+    assert_eq!(timing.drain, ms(1000));
+}
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -56,6 +56,18 @@
     pending: usize,
 }
 
+impl Seen {
+    /// Takes a round-trip time into the average.
+    fn measure(&mut self, span: std_time::Duration) {
+        let rtt = time::micros(span);
+        self.rtt = if self.rtt == 0 {
+            rtt
+        } else {
+            (self.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
+        };
+    }
+}
+
 /// A valid confirmation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Confirmation {
@@ -215,12 +227,7 @@
             }
             return;
         };
-        let rtt = time::micros(now.since(sent));
-        seen.rtt = if seen.rtt == 0 {
-            rtt
-        } else {
-            (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
-        };
+        seen.measure(now.since(sent));
         seen.down = None;
         if self.primary() == Some(instance) {
             self.unled = status.role == position::Role::Replica;
--- a/components/kernel/src/group/ruled.rs
+++ b/components/kernel/src/group/ruled.rs
@@ -5,7 +5,7 @@
 
 use config::Name;
 
-use super::{Arbiter, Confirmation, Group, HISTORY, RTT_WEIGHT, Seen};
+use super::{Arbiter, Confirmation, Group, HISTORY, Seen};
 use crate::{leader, position, time};
 
 /// Pause after a connection that failed; doubled with every further one.
@@ -179,12 +179,7 @@
         let Some(seen) = self.instances.get_mut(instance) else {
             return;
         };
-        let rtt = time::micros(now.since(sent));
-        seen.rtt = if seen.rtt == 0 {
-            rtt
-        } else {
-            (seen.rtt * (8 - RTT_WEIGHT) + rtt * RTT_WEIGHT) / 8
-        };
+        seen.measure(now.since(sent));
         seen.sent = seen.sent.max(sent);
         seen.down = None;
         if seen.behind.is_some_and(|(_, floor)| floor <= applied) {
