Write rows in transactions; one HTTP client for the whole program

The border to the store takes changes of several rows, all or none, as the users' store offers it; the command line's calls to daemons use the client of the store.

--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -283,8 +283,15 @@
             event::Action::Cancel(process, secret) => self.cancel_soon(process, secret),
             event::Action::Sever(instance) => self.sever(&instance),
             event::Action::Load(key) => self.call(table::Call::Load(key)),
-            event::Action::Store(version, row) => self.call(table::Call::Store(version, row)),
-            event::Action::Erase(version, key) => self.call(table::Call::Erase(version, key)),
+            event::Action::Store(version, row) => {
+                let key = row.key();
+                let row = Some(row);
+                self.call(table::Call::Write(event::RowChange { key, version, row }));
+            }
+            event::Action::Erase(version, key) => {
+                let row = None;
+                self.call(table::Call::Write(event::RowChange { key, version, row }));
+            }
             event::Action::Order(order) => self.call(table::Call::Order(order)),
             event::Action::Depose(instance, term) => {
                 self.monitor(&instance, monitor::Call::Depose(term));
--- a/components/daemon/src/table.rs
+++ b/components/daemon/src/table.rs
@@ -17,10 +17,8 @@
 pub enum Call {
     /// Read a row.
     Load(event::RowKey),
-    /// Write a row if its version is as given.
-    Store(u64, event::Row),
-    /// Remove a row if its version is as given.
-    Erase(u64, event::RowKey),
+    /// Write or remove a row if its version is as given.
+    Write(event::RowChange),
     /// Order a promotion.
     Order(event::Order),
     /// Tell when all calls before have been made.
@@ -65,12 +63,9 @@
             let loaded = services.store.load(&key);
             event::Event::Loaded(key, loaded)
         }
-        Call::Store(version, row) => {
-            event::Event::Stored(row.key(), services.store.store(version, &row))
-        }
-        Call::Erase(version, key) => {
-            let stored = services.store.erase(version, &key);
-            event::Event::Stored(key, stored)
+        Call::Write(change) => {
+            let stored = services.store.transact(std::slice::from_ref(&change));
+            event::Event::Stored(change.key, stored)
         }
         Call::Order(order) => {
             let ordered = match &services.orders {
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -160,6 +160,17 @@
     Leader(Name),
 }
 
+/// One row of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowChange {
+    /// Name of the row.
+    pub key: RowKey,
+    /// Version that it must have; 0 if it must not exist.
+    pub version: u64,
+    /// What it becomes; none to remove it.
+    pub row: Option<Row>,
+}
+
 /// A text that names no row.
 #[derive(Clone, Copy, Debug, Display, derive_more::Error, PartialEq, Eq)]
 #[display("the text names no row")]
--- a/components/store/src/client.rs
+++ b/components/store/src/client.rs
@@ -1,4 +1,4 @@
-//! HTTP client for the platform's services.
+//! HTTP client for the platform's services and for daemons.
 
 use std::time;
 
@@ -64,6 +64,18 @@
         read(request.send_json(body))
     }
 
+    /// Posts a text.
+    pub fn post_text(
+        &self,
+        path: &str,
+        body: &str,
+        limit: time::Duration,
+    ) -> Result<Answer, failure::Failure> {
+        let request = self.agent.post(format!("{}{path}", self.base));
+        let request = request.config().timeout_global(Some(limit)).build();
+        read(request.send(body))
+    }
+
     /// Posts a JSON body with headers.
     pub fn post(
         &self,
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -62,13 +62,23 @@
         }
     }
 
-    fn store(&self, version: u64, row: &event::Row) -> event::Stored {
+    fn transact(&self, changes: &[event::RowChange]) -> event::Stored {
+        let [event::RowChange { key, version, row }] = changes else {
+            log::error!(
+                "this platform writes one row at a time, not {}",
+                changes.len()
+            );
+            return event::Stored::Conflict;
+        };
+        let Some(row) = row else {
+            log::error!("this platform cannot remove row {key}");
+            return event::Stored::Conflict;
+        };
         let body = Versioned {
-            version,
+            version: *version,
             value: row,
         };
-        let path = format!("/rows/{}", row.key());
-        let Ok(answer) = self.client.put(&path, &body, TIMEOUT) else {
+        let Ok(answer) = self.client.put(&format!("/rows/{key}"), &body, TIMEOUT) else {
             return event::Stored::Unknown;
         };
         match answer.status {
--- a/components/store/src/service.rs
+++ b/components/store/src/service.rs
@@ -10,12 +10,8 @@
 pub trait Service: Send + Sync {
     /// Reads a row.
     fn load(&self, key: &event::RowKey) -> event::Loaded;
-    /// Writes a row if its version is as given.
-    fn store(&self, version: u64, row: &event::Row) -> event::Stored;
-    /// Removes a row if its version is as given.
-    fn erase(&self, _version: u64, _key: &event::RowKey) -> event::Stored {
-        event::Stored::Unknown
-    }
+    /// Writes and removes rows, all or none, if all have their versions.
+    fn transact(&self, changes: &[event::RowChange]) -> event::Stored;
     /// Lists the VMs; the list lags.
     fn list(&self) -> Result<Vec<event::Vm>, failure::Failure> {
         Ok(Vec::new())
--- a/src/cmd/http.rs
+++ b/src/cmd/http.rs
@@ -17,36 +17,29 @@
     pub body: String,
 }
 
-fn agent() -> ureq::Agent {
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(TIMEOUT))
-        .http_status_as_error(false)
-        .build();
-    config.into()
-}
-
-fn unreachable(admin: &str) -> Report<failure::Failure> {
-    Report::new(failure::Failure::Unreachable(admin.into()))
+fn client(admin: &str) -> store::Client {
+    store::Client::new(&format!("http://{admin}"))
 }
 
 /// Reads a page.
 pub fn get(admin: &str, path: &str) -> Result<Answer, Report<failure::Failure>> {
-    let answer = agent().get(format!("http://{admin}{path}")).call();
-    read(answer.map_err(|_| unreachable(admin))?, admin)
+    read(client(admin).get(path, TIMEOUT), admin)
 }
 
 /// Sends a document.
 pub fn post(admin: &str, path: &str, body: &str) -> Result<Answer, Report<failure::Failure>> {
-    let answer = agent().post(format!("http://{admin}{path}")).send(body);
-    read(answer.map_err(|_| unreachable(admin))?, admin)
+    read(client(admin).post_text(path, body, TIMEOUT), admin)
 }
 
 fn read(
-    mut answer: ureq::http::Response<ureq::Body>,
+    answer: Result<store::Answer, store::Failure>,
     admin: &str,
 ) -> Result<Answer, Report<failure::Failure>> {
-    let code = answer.status().as_u16();
-    let body = answer.body_mut().read_to_string();
-    let body = body.map_err(|_| unreachable(admin))?;
-    Ok(Answer { code, body })
+    let unreachable = || Report::new(failure::Failure::Unreachable(admin.into()));
+    let answer = answer.map_err(|_| unreachable())?;
+    let body = String::from_utf8(answer.body).map_err(|_| unreachable())?;
+    Ok(Answer {
+        code: answer.status,
+        body,
+    })
 }
