Ask the kernel in one place, keep sockets in one type, forget reborn instances

`born` of an instance was decoded and read by nobody, so one that started again under its id kept its pauses, round-trip times and positions. It is now as if never used; the new test (used at once after its return) failed without it.

--- a/components/daemon/src/dialogue/held.rs
+++ b/components/daemon/src/dialogue/held.rs
@@ -6,8 +6,8 @@
 use errors::{Cause, Refusal};
 use kernel::{event, group, position};
 
-use super::{Dialogue, UNREACHABLE_RETRY_MS};
-use crate::{links, shell};
+use super::Dialogue;
+use crate::{handle, links};
 
 /// A connection held for a statement or a transaction.
 pub(super) struct Held {
@@ -28,20 +28,10 @@
         deadline: std_time::Instant,
     ) -> Result<Held, Refusal> {
         loop {
-            self.count += 1;
-            let number = self.count & ((1 << shell::REQUEST_BITS) - 1);
-            let request = event::RequestId(self.id.0 << shell::REQUEST_BITS | number);
-            self.shell.drive(event::Event::Requested(event::Request {
-                id: request,
-                session: self.id,
-                access,
-                retry,
-            }));
-            let grant = match self.handle.wait() {
-                shell::Reply::Grant(grant) => grant,
-                shell::Reply::Refuse(refusal) => return Err(refusal),
-                _ => return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS)),
-            };
+            let grant = self
+                .shell
+                .ask(&self.handle, self.id, &mut self.count, access, retry)?;
+            let request = grant.request;
             let outcome = if self.shell.clock.now() >= grant.until {
                 event::Outcome::Clean
             } else {
@@ -64,7 +54,8 @@
             self.release(request, outcome);
             retry = true;
             if std_time::Instant::now() >= deadline {
-                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
+                let hint = handle::UNREACHABLE_RETRY_MS;
+                return Err(Refusal::new(Cause::Unavailable, hint));
             }
         }
     }
--- a/components/daemon/src/dialogue/mod.rs
+++ b/components/daemon/src/dialogue/mod.rs
@@ -11,7 +11,7 @@
 use errors::{Cause, Refusal};
 use kernel::{event, position};
 
-use crate::{links, shell};
+use crate::{handle, links, shell};
 
 mod held;
 mod transaction;
@@ -21,8 +21,6 @@
 
 /// Pause before a statement that did not run is tried again.
 const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(15);
-/// Retry hint where no database could be reached, in ms.
-const UNREACHABLE_RETRY_MS: u32 = 500;
 /// Limit of a statement on a route that states none.
 const STATEMENT_LIMIT: std_time::Duration = std_time::Duration::from_secs(5);
 /// Times that a read is sent to instances on a route that states none.
@@ -39,7 +37,7 @@
 struct Dialogue {
     shell: sync::Arc<shell::Shell>,
     caller: Box<dyn dialect::Caller>,
-    handle: sync::Arc<shell::Handle>,
+    handle: sync::Arc<handle::Handle>,
     id: event::SessionId,
     count: u64,
     route: String,
@@ -66,7 +64,7 @@
     if shell.count_sessions() >= limits.sessions {
         return caller.reject(&Refusal::new(Cause::NoCapacity, 1000));
     }
-    let handle = sync::Arc::new(shell::Handle::answering(caller.socket()));
+    let handle = sync::Arc::new(handle::Handle::answering(caller.socket()));
     let id = shell.open(handle.clone());
     shell.drive(event::Event::Opened(event::Opening {
         session: id,
@@ -75,7 +73,7 @@
         token: None,
     }));
     let result = match handle.wait() {
-        shell::Reply::Welcome(welcome) => {
+        handle::Reply::Welcome(welcome) => {
             let mut dialogue = Dialogue {
                 shell: shell.clone(),
                 caller,
@@ -92,7 +90,7 @@
             dialogue.abandon(links);
             result
         }
-        shell::Reply::Refuse(refusal) => {
+        handle::Reply::Refuse(refusal) => {
             log::info!(target: "session", route = startup.database, refusal:%; "turned away");
             caller.reject(&refusal)
         }
@@ -326,7 +324,7 @@
                 }
             }
             if std_time::Instant::now() >= deadline {
-                break Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS);
+                break Refusal::new(Cause::Unavailable, handle::UNREACHABLE_RETRY_MS);
             }
         };
         self.note(telemetry::Outcome::Refused, begun.elapsed());
@@ -393,7 +391,7 @@
         });
         self.give_back(links, held, event::Outcome::Committed(status));
         match self.handle.wait() {
-            shell::Reply::Acknowledge(_, until) if self.shell.clock.now() < until => {
+            handle::Reply::Acknowledge(_, until) if self.shell.clock.now() < until => {
                 self.note(telemetry::Outcome::Primary, begun.elapsed());
                 self.caller.pass(reply)
             }
--- a/components/daemon/src/dialogue/transaction.rs
+++ b/components/daemon/src/dialogue/transaction.rs
@@ -5,7 +5,8 @@
 use errors::{Cause, Refusal};
 use kernel::event;
 
-use super::{Dialogue, Need, UNREACHABLE_RETRY_MS, held::Held, pause};
+use super::{Dialogue, Need, held::Held, pause};
+use crate::handle;
 use crate::links;
 
 /// A transaction of the caller.
@@ -131,7 +132,7 @@
         };
         if transaction.held.is_some() {
             let fresh = self.customer.is_none() || self.shell.inspect(kernel::Daemon::is_fresh);
-            let stale = Refusal::new(Cause::TransactionLost, UNREACHABLE_RETRY_MS);
+            let stale = Refusal::new(Cause::TransactionLost, handle::UNREACHABLE_RETRY_MS);
             return if fresh { Ok(()) } else { Err(stale) };
         }
         let (begin, reads) = (transaction.begin.clone(), transaction.reads);
@@ -168,7 +169,10 @@
                 Err(_) => self.discard(links, held, event::Outcome::Broken),
             }
             if std_time::Instant::now() >= deadline {
-                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
+                return Err(Refusal::new(
+                    Cause::Unavailable,
+                    handle::UNREACHABLE_RETRY_MS,
+                ));
             }
         }
     }
--- /dev/null
+++ b/components/daemon/src/handle.rs
@@ -0,0 +1,136 @@
+//! The part of a session that other threads reach, and its talk with the kernel.
+
+use std::{collections, net, sync};
+
+use errors::{Cause, Refusal};
+use kernel::{event, position, time};
+
+use crate::locks;
+
+/// Retry hint where no instance could be reached, in ms.
+pub const UNREACHABLE_RETRY_MS: u32 = 500;
+
+/// What the kernel tells a session.
+#[derive(Debug)]
+pub enum Reply {
+    /// It is let in.
+    Welcome(event::Welcome),
+    /// Its request may run.
+    Grant(event::Grant),
+    /// Its request, or the session at its start, is refused.
+    Refuse(Refusal),
+    /// Its write may be acknowledged before the time.
+    Acknowledge(position::Floor, time::Time),
+}
+
+/// Where a cancel request for a session goes while its statement runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    /// Database.
+    pub endpoint: wire::Endpoint,
+    /// Cancel key of the connection.
+    pub process: i32,
+    /// Cancel key of the connection.
+    pub secret: i32,
+}
+
+#[derive(Debug, Default)]
+struct Ending {
+    refusal: Option<Refusal>,
+    idle: bool,
+}
+
+/// The part of a session that other threads reach.
+pub struct Handle {
+    replies: sync::Mutex<collections::VecDeque<Reply>>,
+    arrived: sync::Condvar,
+    ending: sync::Mutex<Ending>,
+    socket: Option<sync::Arc<net::TcpStream>>,
+    /// The session answers its caller's next statement before it ends.
+    answers: bool,
+    /// Secret of its cancel key.
+    pub secret: i32,
+    /// Statement in flight.
+    pub target: sync::Mutex<Option<Target>>,
+}
+
+impl Handle {
+    /// A handle on a caller's socket.
+    pub fn new(socket: Option<sync::Arc<net::TcpStream>>, secret: i32) -> Self {
+        Self {
+            replies: sync::Mutex::default(),
+            arrived: sync::Condvar::new(),
+            ending: sync::Mutex::default(),
+            socket,
+            answers: false,
+            secret,
+            target: sync::Mutex::default(),
+        }
+    }
+
+    /// A handle of a session that answers its caller's next statement before
+    /// it ends, and has no cancel key.
+    pub fn answering(socket: sync::Arc<net::TcpStream>) -> Self {
+        Self {
+            answers: true,
+            ..Self::new(Some(socket), 0)
+        }
+    }
+
+    /// Passes on the kernel's word.
+    pub fn push(&self, reply: Reply) {
+        locks::lock(&self.replies).push_back(reply);
+        self.arrived.notify_one();
+    }
+
+    /// Waits for the kernel's next word.
+    pub fn wait(&self) -> Reply {
+        let replies = locks::lock(&self.replies);
+        let waited = self
+            .arrived
+            .wait_while(replies, |replies| replies.is_empty());
+        let mut replies = waited.unwrap_or_else(sync::PoisonError::into_inner);
+        replies
+            .pop_front()
+            .unwrap_or(Reply::Refuse(Refusal::new(Cause::Stopping, 0)))
+    }
+
+    /// Ends the session; at once if it waits for its caller.
+    pub fn end(&self, refusal: Refusal) {
+        let mut ending = locks::lock(&self.ending);
+        ending.refusal.get_or_insert(refusal);
+        let at_once = ending.idle || (!self.answers && refusal.cause != Cause::Stopping);
+        if let Some(socket) = self.socket.as_ref().filter(|_| at_once) {
+            let _ = socket.shutdown(net::Shutdown::Read);
+        }
+    }
+
+    /// Notes whether the session is between transactions; returns why it must
+    /// end, if it must.
+    pub fn rest(&self, idle: bool) -> Option<Refusal> {
+        let mut ending = locks::lock(&self.ending);
+        ending.idle = idle;
+        let refusal = ending.refusal?;
+        (idle || refusal.cause != Cause::Stopping).then_some(refusal)
+    }
+
+    /// Why the session must end, if it must.
+    pub fn ending(&self) -> Option<Refusal> {
+        locks::lock(&self.ending).refusal
+    }
+
+    /// Breaks the caller's connection.
+    pub fn shut(&self, how: net::Shutdown) {
+        if let Some(socket) = &self.socket {
+            let _ = socket.shutdown(how);
+        }
+    }
+
+    /// Cancels the statement in flight, and waits until that is settled.
+    pub fn cancel(&self) {
+        let target = locks::lock(&self.target);
+        if let Some(target) = *target {
+            let _ = wire::cancel(&target.endpoint, target.process, target.secret);
+        }
+    }
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -8,15 +8,18 @@
 mod daemon;
 mod dialogue;
 mod failure;
+mod handle;
 mod links;
 mod locks;
 mod monitor;
+mod pace;
 mod pool;
 mod requests;
 mod session;
 mod shell;
 mod table;
 mod tls;
+mod used;
 mod workers;
 
 pub use daemon::{Listeners, Running};
--- a/components/daemon/src/links.rs
+++ b/components/daemon/src/links.rs
@@ -1,23 +1,21 @@
 //! Connections to instances over a dialect.
 
-use std::{collections, net, sync, time};
+use std::{net, time};
 
 use config::Name;
 use kernel::event;
 
-use crate::{locks, monitor, pool};
+use crate::{monitor, pool, used};
 
 /// Name under which the daemon itself connects.
 const OWN_USER: &str = "ebonygauge";
 
-type Broken = collections::HashMap<event::RequestId, sync::Arc<net::TcpStream>>;
-
 /// Connections that wait, and those in use.
 pub struct Links {
     dialect: &'static dialect::Dialect,
     source: net::IpAddr,
     pool: pool::Pool<Box<dyn dialect::Link>>,
-    used: sync::Mutex<collections::HashMap<Name, Broken>>,
+    used: used::Used,
 }
 
 /// Why an instance could not be asked.
@@ -58,7 +56,7 @@
             dialect,
             source,
             pool: pool::Pool::default(),
-            used: sync::Mutex::default(),
+            used: used::Used::default(),
         }
     }
 
@@ -83,10 +81,8 @@
             None => self.connect(purpose, purpose.user(), limit),
         };
         let adapted = link.and_then(|mut link| {
-            let mut used = locks::lock(&self.used);
-            let sockets = used.entry(purpose.instance.clone()).or_default();
-            sockets.insert(request, link.socket());
-            drop(used);
+            let socket = link.socket();
+            self.used.insert(purpose.instance, request, socket);
             link.adapt(purpose.values, limit).map(|()| link)
         });
         if adapted.is_err() {
@@ -119,36 +115,26 @@
         request: event::RequestId,
         link: Box<dyn dialect::Link>,
     ) {
-        self.unuse(instance, request);
+        self.used.remove(instance, request);
         let user = customer.map_or("-", |customer| customer);
         self.pool.put(instance, user, link);
     }
 
     /// A connection was closed.
     pub fn drop_used(&self, instance: &Name, request: event::RequestId) {
-        self.unuse(instance, request);
+        self.used.remove(instance, request);
         self.pool.drop_used(instance);
     }
 
-    fn unuse(&self, instance: &Name, request: event::RequestId) {
-        if let Some(sockets) = locks::lock(&self.used).get_mut(instance) {
-            sockets.remove(&request);
-        }
-    }
-
     /// Breaks all connections to an instance.
     pub fn sever(&self, instance: &Name) {
-        if let Some(sockets) = locks::lock(&self.used).get(instance) {
-            for socket in sockets.values() {
-                let _ = socket.shutdown(net::Shutdown::Both);
-            }
-        }
+        self.used.sever(instance);
         self.pool.clear(instance);
     }
 
     /// Instances with connections in use.
     pub fn instances(&self) -> Vec<Name> {
-        locks::lock(&self.used).keys().cloned().collect()
+        self.used.instances()
     }
 
     /// Sets the number of connections to an instance.
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -6,15 +6,13 @@
 use errors::{Cause, Refusal};
 use kernel::{event, position};
 
-use crate::{locks, shell};
+use crate::{handle, locks, shell};
 
 /// Pause before a request that did not run is tried again.
 const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(20);
 /// Time between an answer and the end of its session, so that a client that
 /// reports the end first has taken in the answer.
 const LINGER: std_time::Duration = std_time::Duration::from_millis(250);
-/// Retry hint where no database could be reached, in ms.
-const UNREACHABLE_RETRY_MS: u32 = 500;
 
 /// A connection held by a transaction.
 struct Held {
@@ -37,7 +35,7 @@
 pub struct Session {
     shell: sync::Arc<shell::Shell>,
     caller: wire::Caller,
-    handle: sync::Arc<shell::Handle>,
+    handle: sync::Arc<handle::Handle>,
     id: event::SessionId,
     count: u64,
     statements: wire::Statements,
@@ -53,7 +51,7 @@
     pub fn new(
         shell: sync::Arc<shell::Shell>,
         caller: wire::Caller,
-        handle: sync::Arc<shell::Handle>,
+        handle: sync::Arc<handle::Handle>,
         id: event::SessionId,
     ) -> Self {
         Self {
@@ -225,7 +223,7 @@
                     access = next.unwrap_or(access);
                 }
                 Tried::Again(_) => {
-                    let refusal = Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS);
+                    let refusal = Refusal::new(Cause::Unavailable, handle::UNREACHABLE_RETRY_MS);
                     self.note(measure, telemetry::Outcome::Refused);
                     return self.refuse(&refusal, plan.end);
                 }
@@ -243,27 +241,18 @@
         deadline: std_time::Instant,
     ) -> Result<Held, Refusal> {
         loop {
-            self.count += 1;
-            let number = self.count & ((1 << shell::REQUEST_BITS) - 1);
-            let request = event::RequestId(self.id.0 << shell::REQUEST_BITS | number);
-            self.shell.drive(event::Event::Requested(event::Request {
-                id: request,
-                session: self.id,
-                access,
-                retry,
-            }));
-            let grant = match self.handle.wait() {
-                shell::Reply::Grant(grant) => grant,
-                shell::Reply::Refuse(refusal) => return Err(refusal),
-                _ => return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS)),
-            };
+            let grant = self
+                .shell
+                .ask(&self.handle, self.id, &mut self.count, access, retry)?;
+            let request = grant.request;
             let server = if self.shell.clock.now() < grant.until {
                 self.connect(&grant.instance)
             } else {
                 None
             };
             if let Some(server) = server {
-                self.shell.use_socket(&grant.instance, request, &server);
+                let socket = server.control.clone();
+                self.shell.used.insert(&grant.instance, request, socket);
                 return Ok(Held {
                     server,
                     request,
@@ -275,7 +264,10 @@
             self.release(request, event::Outcome::Unsent);
             retry = true;
             if std_time::Instant::now() >= deadline {
-                return Err(Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS));
+                return Err(Refusal::new(
+                    Cause::Unavailable,
+                    handle::UNREACHABLE_RETRY_MS,
+                ));
             }
             thread::sleep(RETRY_PAUSE);
         }
@@ -304,7 +296,7 @@
 
     /// Closes the connection of a request.
     fn discard(&self, held: Held, outcome: event::Outcome) {
-        self.shell.unuse_socket(&held.instance, held.request);
+        self.shell.used.remove(&held.instance, held.request);
         self.shell.pool.drop_used(&held.instance);
         drop(held.server);
         self.release(held.request, outcome);
@@ -312,7 +304,7 @@
 
     /// Returns the connection of a request to the pool.
     fn give_back(&self, held: Held, outcome: event::Outcome) {
-        self.shell.unuse_socket(&held.instance, held.request);
+        self.shell.used.remove(&held.instance, held.request);
         let mut server = held.server;
         if server.dirty && server.reset().is_err() {
             self.shell.pool.drop_used(&held.instance);
@@ -330,7 +322,7 @@
 
     /// Runs a batch on a connection.
     fn exchange(&mut self, plan: &wire::Plan, mut held: Held, continued: bool) -> Tried {
-        let target = shell::Target {
+        let target = handle::Target {
             endpoint: held.server.endpoint,
             process: held.server.process,
             secret: held.server.secret,
@@ -428,7 +420,7 @@
     ) -> Result<Ended, wire::Failure> {
         self.give_back(held, event::Outcome::Committed(exchange.place));
         let floor = match self.handle.wait() {
-            shell::Reply::Acknowledge(floor, until) if self.shell.clock.now() < until => floor,
+            handle::Reply::Acknowledge(floor, until) if self.shell.clock.now() < until => floor,
             _ => {
                 self.note(measure, telemetry::Outcome::Unknown);
                 let refusal = Refusal::new(Cause::OutcomeUnknown, 0);
--- a/components/daemon/src/session.rs
+++ b/components/daemon/src/session.rs
@@ -5,7 +5,7 @@
 use errors::{Cause, Refusal};
 use kernel::event;
 
-use crate::{requests, shell};
+use crate::{handle, requests, shell};
 
 /// Accepts a caller and serves it to the end.
 pub fn serve(
@@ -27,7 +27,7 @@
         return wire::refuse_startup(&mut caller, &Refusal::new(Cause::NoCapacity, 1000));
     }
     let secret = random_secret(&control);
-    let handle = sync::Arc::new(shell::Handle::new(Some(sync::Arc::new(control)), secret));
+    let handle = sync::Arc::new(handle::Handle::new(Some(sync::Arc::new(control)), secret));
     let id = shell.open(handle.clone());
     if shell.is_halted() {
         shell.close(id);
@@ -52,7 +52,7 @@
     caller: &mut wire::Caller,
     startup: &wire::Startup,
     id: event::SessionId,
-    handle: &shell::Handle,
+    handle: &handle::Handle,
 ) -> Result<Option<(event::Welcome, Vec<u8>)>, wire::Failure> {
     let fleet = shell.fleet();
     let route = fleet.routes.get(startup.database.as_str());
@@ -70,8 +70,8 @@
         token: startup.token,
     }));
     let welcome = match handle.wait() {
-        shell::Reply::Welcome(welcome) => welcome,
-        shell::Reply::Refuse(refusal) => {
+        handle::Reply::Welcome(welcome) => welcome,
+        handle::Reply::Refuse(refusal) => {
             wire::refuse_startup(caller, &refusal)?;
             return Ok(None);
         }
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -7,158 +7,12 @@
 
 use config::{Fleet, Name};
 use errors::{Cause, Refusal};
-use kernel::{event, journal, position, time};
+use kernel::{event, journal};
 
-use crate::{clock, links, locks, monitor, pool, table};
+use crate::{clock, handle, links, locks, monitor, pace, pool, table, used};
 
 /// Bits of a request's identity below its session's.
-pub const REQUEST_BITS: u32 = 24;
-
-/// What the kernel tells a session.
-#[derive(Debug)]
-pub enum Reply {
-    /// It is let in.
-    Welcome(event::Welcome),
-    /// Its request may run.
-    Grant(event::Grant),
-    /// Its request, or the session at its start, is refused.
-    Refuse(Refusal),
-    /// Its write may be acknowledged before the time.
-    Acknowledge(position::Floor, time::Time),
-}
-
-/// Where a cancel request for a session goes while its statement runs.
-#[derive(Clone, Copy, Debug)]
-pub struct Target {
-    /// Database.
-    pub endpoint: wire::Endpoint,
-    /// Cancel key of the connection.
-    pub process: i32,
-    /// Cancel key of the connection.
-    pub secret: i32,
-}
-
-#[derive(Debug, Default)]
-struct Ending {
-    refusal: Option<Refusal>,
-    idle: bool,
-}
-
-/// Lets the thread of the ticks rest while nothing waits for one.
-#[derive(Debug, Default)]
-pub struct Pace {
-    pressed: sync::Mutex<bool>,
-    changed: sync::Condvar,
-}
-
-impl Pace {
-    /// Notes whether something waits.
-    fn set(&self, pressed: bool) {
-        let mut own = locks::lock(&self.pressed);
-        if pressed && !*own {
-            self.changed.notify_one();
-        }
-        *own = pressed;
-    }
-
-    /// Waits until something waits, or the time is over.
-    pub fn rest(&self, limit: std::time::Duration) {
-        let own = locks::lock(&self.pressed);
-        let _ = self
-            .changed
-            .wait_timeout_while(own, limit, |pressed| !*pressed);
-    }
-}
-
-/// The part of a session that other threads reach.
-pub struct Handle {
-    replies: sync::Mutex<collections::VecDeque<Reply>>,
-    arrived: sync::Condvar,
-    ending: sync::Mutex<Ending>,
-    socket: Option<sync::Arc<net::TcpStream>>,
-    /// The session answers its caller's next statement before it ends.
-    answers: bool,
-    /// Secret of its cancel key.
-    pub secret: i32,
-    /// Statement in flight.
-    pub target: sync::Mutex<Option<Target>>,
-}
-
-impl Handle {
-    /// A handle on a caller's socket.
-    pub fn new(socket: Option<sync::Arc<net::TcpStream>>, secret: i32) -> Self {
-        Self {
-            replies: sync::Mutex::default(),
-            arrived: sync::Condvar::new(),
-            ending: sync::Mutex::default(),
-            socket,
-            answers: false,
-            secret,
-            target: sync::Mutex::default(),
-        }
-    }
-
-    /// A handle of a session that answers its caller's next statement before
-    /// it ends, and has no cancel key.
-    pub fn answering(socket: sync::Arc<net::TcpStream>) -> Self {
-        Self {
-            answers: true,
-            ..Self::new(Some(socket), 0)
-        }
-    }
-
-    fn push(&self, reply: Reply) {
-        locks::lock(&self.replies).push_back(reply);
-        self.arrived.notify_one();
-    }
-
-    /// Waits for the kernel's next word.
-    pub fn wait(&self) -> Reply {
-        let replies = locks::lock(&self.replies);
-        let waited = self
-            .arrived
-            .wait_while(replies, |replies| replies.is_empty());
-        let mut replies = waited.unwrap_or_else(sync::PoisonError::into_inner);
-        replies
-            .pop_front()
-            .unwrap_or(Reply::Refuse(Refusal::new(Cause::Stopping, 0)))
-    }
-
-    /// Ends the session; at once if it waits for its caller.
-    fn end(&self, refusal: Refusal) {
-        let mut ending = locks::lock(&self.ending);
-        ending.refusal.get_or_insert(refusal);
-        let at_once = ending.idle || (!self.answers && refusal.cause != Cause::Stopping);
-        if let Some(socket) = self.socket.as_ref().filter(|_| at_once) {
-            let _ = socket.shutdown(net::Shutdown::Read);
-        }
-    }
-
-    /// Notes whether the session is between transactions; returns why it must
-    /// end, if it must.
-    pub fn rest(&self, idle: bool) -> Option<Refusal> {
-        let mut ending = locks::lock(&self.ending);
-        ending.idle = idle;
-        let refusal = ending.refusal?;
-        (idle || refusal.cause != Cause::Stopping).then_some(refusal)
-    }
-
-    /// Why the session must end, if it must.
-    pub fn ending(&self) -> Option<Refusal> {
-        locks::lock(&self.ending).refusal
-    }
-
-    /// Cancels the statement in flight, and waits until that is settled.
-    fn cancel(&self) {
-        let target = locks::lock(&self.target);
-        if let Some(target) = *target {
-            let _ = wire::cancel(&target.endpoint, target.process, target.secret);
-        }
-    }
-}
-
-type Used = collections::HashMap<event::RequestId, sync::Arc<net::TcpStream>>;
-type Sockets = collections::HashMap<Name, Used>;
+const REQUEST_BITS: u32 = 24;
 
 /// Everything that a daemon's threads share.
 pub struct Shell {
@@ -169,18 +23,19 @@
     /// Metrics.
     pub metrics: telemetry::Metrics,
     /// Whether ticks are needed soon.
-    pub pace: sync::Arc<Pace>,
+    pub pace: sync::Arc<pace::Pace>,
+    /// Connections to databases in use.
+    pub used: used::Used,
     /// Connections to databases.
     pub pool: pool::Pool<wire::Server>,
     /// Login at databases.
     pub login: pool::Login,
     links: Option<links::Links>,
     kernel: sync::Mutex<kernel::Daemon>,
-    sessions: sync::RwLock<collections::HashMap<event::SessionId, sync::Arc<Handle>>>,
+    sessions: sync::RwLock<collections::HashMap<event::SessionId, sync::Arc<handle::Handle>>>,
     fleet: sync::RwLock<sync::Arc<Fleet>>,
     addresses: sync::RwLock<collections::HashMap<Name, net::SocketAddr>>,
     monitors: sync::Mutex<collections::HashMap<Name, monitor::Monitor>>,
-    used: sync::Mutex<Sockets>,
     peers: sync::OnceLock<peer::Handle>,
     calls: mpsc::Sender<table::Call>,
     tickets: sync::Mutex<collections::HashMap<event::Ticket, mpsc::Sender<event::Verdict>>>,
@@ -220,7 +75,7 @@
             fleet: sync::RwLock::default(),
             addresses: sync::RwLock::default(),
             monitors: sync::Mutex::default(),
-            used: sync::Mutex::default(),
+            used: used::Used::default(),
             peers: sync::OnceLock::new(),
             calls,
             tickets: sync::Mutex::default(),
@@ -256,20 +111,22 @@
     fn perform(&self, action: event::Action) {
         match action {
             event::Action::Welcome(session, welcome) => {
-                self.reply(session, Reply::Welcome(welcome));
+                self.reply(session, handle::Reply::Welcome(welcome));
+            }
+            event::Action::Reject(session, refusal) => {
+                self.reply(session, handle::Reply::Refuse(refusal))
             }
-            event::Action::Reject(session, refusal) => self.reply(session, Reply::Refuse(refusal)),
             event::Action::End(session, refusal) => {
                 if let Some(handle) = self.session(session) {
                     handle.end(refusal);
                 }
             }
-            event::Action::Grant(grant) => self.answer(grant.request, Reply::Grant(grant)),
+            event::Action::Grant(grant) => self.answer(grant.request, handle::Reply::Grant(grant)),
             event::Action::Refuse(request, refusal) => {
-                self.answer(request, Reply::Refuse(refusal));
+                self.answer(request, handle::Reply::Refuse(refusal));
             }
             event::Action::Acknowledge(request, floor, until) => {
-                self.answer(request, Reply::Acknowledge(floor, until));
+                self.answer(request, handle::Reply::Acknowledge(floor, until));
             }
             event::Action::Poll(instance) => self.monitor(&instance, monitor::Call::Poll),
             event::Action::Fence(instance, term) => {
@@ -315,17 +172,17 @@
         }
     }
 
-    fn reply(&self, session: event::SessionId, reply: Reply) {
+    fn reply(&self, session: event::SessionId, reply: handle::Reply) {
         if let Some(handle) = self.session(session) {
             handle.push(reply);
         }
     }
 
-    fn answer(&self, request: event::RequestId, reply: Reply) {
+    fn answer(&self, request: event::RequestId, reply: handle::Reply) {
         self.reply(event::SessionId(request.0 >> REQUEST_BITS), reply);
     }
 
-    fn session(&self, session: event::SessionId) -> Option<sync::Arc<Handle>> {
+    fn session(&self, session: event::SessionId) -> Option<sync::Arc<handle::Handle>> {
         read(&self.sessions).get(&session).cloned()
     }
 
@@ -399,7 +256,7 @@
     }
 
     /// Registers a session.
-    pub fn open(&self, handle: sync::Arc<Handle>) -> event::SessionId {
+    pub fn open(&self, handle: sync::Arc<handle::Handle>) -> event::SessionId {
         let id = event::SessionId(self.next.fetch_add(1, atomic::Ordering::Relaxed));
         let mut sessions = write(&self.sessions);
         sessions.insert(id, handle);
@@ -420,29 +277,11 @@
         read(&self.sessions).len()
     }
 
-    /// Makes a connection in use known, so that it can be broken.
-    pub fn use_socket(&self, instance: &Name, request: event::RequestId, server: &wire::Server) {
-        let mut used = locks::lock(&self.used);
-        let sockets = used.entry(instance.clone()).or_default();
-        sockets.insert(request, server.control.clone());
-    }
-
-    /// The connection is no longer in use.
-    pub fn unuse_socket(&self, instance: &Name, request: event::RequestId) {
-        if let Some(sockets) = locks::lock(&self.used).get_mut(instance) {
-            sockets.remove(&request);
-        }
-    }
-
     fn sever(&self, instance: &Name) {
         if let Some(links) = &self.links {
             return links.sever(instance);
         }
-        if let Some(sockets) = locks::lock(&self.used).get(instance) {
-            for socket in sockets.values() {
-                let _ = socket.shutdown(net::Shutdown::Both);
-            }
-        }
+        self.used.sever(instance);
         self.pool.clear(instance);
     }
 
@@ -499,6 +338,35 @@
         self.links.as_ref()
     }
 
+    /// Asks the kernel for a connection for a session's next request; its number
+    /// counts up.
+    pub fn ask(
+        &self,
+        handle: &handle::Handle,
+        session: event::SessionId,
+        count: &mut u64,
+        access: event::Access,
+        retry: bool,
+    ) -> Result<event::Grant, Refusal> {
+        *count += 1;
+        let number = *count & ((1 << REQUEST_BITS) - 1);
+        let id = event::RequestId(session.0 << REQUEST_BITS | number);
+        self.drive(event::Event::Requested(event::Request {
+            id,
+            session,
+            access,
+            retry,
+        }));
+        match handle.wait() {
+            handle::Reply::Grant(grant) => Ok(grant),
+            handle::Reply::Refuse(refusal) => Err(refusal),
+            _ => Err(Refusal::new(
+                Cause::Unavailable,
+                handle::UNREACHABLE_RETRY_MS,
+            )),
+        }
+    }
+
     /// Waits until the calls to the platform so far have been made.
     pub fn flush_calls(&self, limit: std::time::Duration) {
         let (done, made) = mpsc::channel();
@@ -511,9 +379,7 @@
     /// Ends the sessions that are still open.
     pub fn end_sessions(&self) {
         for handle in read(&self.sessions).values() {
-            if let Some(socket) = &handle.socket {
-                let _ = socket.shutdown(net::Shutdown::Read);
-            }
+            handle.shut(net::Shutdown::Read);
         }
     }
 
@@ -547,12 +413,10 @@
     /// Breaks every connection, as the death of the process would.
     pub fn break_all(&self) {
         for handle in read(&self.sessions).values() {
-            if let Some(socket) = &handle.socket {
-                let _ = socket.shutdown(net::Shutdown::Both);
-            }
-            handle.push(Reply::Refuse(Refusal::new(Cause::Stopping, 0)));
+            handle.shut(net::Shutdown::Both);
+            handle.push(handle::Reply::Refuse(Refusal::new(Cause::Stopping, 0)));
         }
-        let mut instances: Vec<_> = locks::lock(&self.used).keys().cloned().collect();
+        let mut instances: Vec<_> = self.used.instances();
         instances.extend(self.links.iter().flat_map(links::Links::instances));
         for instance in instances {
             self.sever(&instance);
--- a/components/kernel/src/group/ruled.rs
+++ b/components/kernel/src/group/ruled.rs
@@ -87,6 +87,20 @@
         down.is_some_and(|down| down.unreached || now < down.until)
     }
 
+    /// The instance has started again, and is as if never used.
+    pub fn renew(&mut self, instance: &Name) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            *seen = Seen {
+                distance: seen.distance,
+                leaving: seen.leaving,
+                leaving_since: seen.leaving_since,
+                sent: seen.sent,
+                pending: seen.pending,
+                ..Seen::default()
+            };
+        }
+    }
+
     /// A peer cannot reach the leader. Asks for a poll, unless the leader was
     /// asked of late.
     pub fn doubt_leader(&mut self, now: time::Time) {
--- a/components/kernel/src/view.rs
+++ b/components/kernel/src/view.rs
@@ -188,6 +188,12 @@
         self.instances.get(name)
     }
 
+    /// Instances with the start of their processes, in Unix ms.
+    pub fn births(&self) -> impl Iterator<Item = (Name, u64)> {
+        let entries = self.instances.iter();
+        entries.map(|(name, entry)| (name.clone(), entry.born))
+    }
+
     /// A row with its version.
     pub fn row(&self, key: &event::RowKey) -> Option<&(u64, event::Row)> {
         self.rows.get(key)
--- a/components/kernel/src/watching.rs
+++ b/components/kernel/src/watching.rs
@@ -23,6 +23,8 @@
     evicted: time::Time,
     /// Doubted entries: version, and when they were first seen.
     doubts: collections::BTreeMap<Name, (u64, time::Time)>,
+    /// When each instance started, in Unix ms.
+    births: collections::BTreeMap<Name, u64>,
 }
 
 impl Watching {
@@ -56,6 +58,20 @@
         self.rule_leaders();
     }
 
+    /// Forgets what was known of instances that have started again.
+    fn renew_instances(&mut self) {
+        let births: collections::BTreeMap<_, _> = self.view.births().collect();
+        for (name, born) in &births {
+            let known = self.watching.births.get(name);
+            let renewed = known.is_some_and(|known| known != born);
+            let pool = self.owner.get(name).and_then(|g| self.pools.get_mut(g));
+            if let Some(pool) = pool.filter(|_| renewed) {
+                pool.group.renew(name);
+            }
+        }
+        self.watching.births = births;
+    }
+
     fn reconfigure(&mut self) {
         let Some((revision, fleet)) = self.view.fleet() else {
             return;
@@ -66,6 +82,7 @@
             fleet: std::sync::Arc::new(fleet),
         }));
         self.configure(journal::Origin::Store);
+        self.renew_instances();
     }
 
     fn read_rows(&mut self) {
@@ -112,13 +129,16 @@
         if self.watching.registering.is_some_and(recent) {
             return;
         }
-        if self.members.is_listed() {
-            self.watching.registering = Some(self.now);
-            let row = event::Row::Member(self.own_entry(false));
-            let version = self.view.version(&key);
-            return self.out.push(event::Action::Store(version, row));
+        if !self.members.is_listed() {
+            self.renew_member(&key);
         }
-        let stored = match self.view.row(&key) {
+        self.watching.registering = Some(self.now);
+        self.write_member(false);
+    }
+
+    /// Takes a new run number, if the one used so far may have been seen.
+    fn renew_member(&mut self, key: &event::RowKey) {
+        let stored = match self.view.row(key) {
             Some((_, event::Row::Member(entry))) => entry.incarnation,
             _ => 0,
         };
@@ -129,14 +149,11 @@
             self.budgets.restart(own, self.now);
             self.resize();
         }
-        self.watching.registering = Some(self.now);
-        let row = event::Row::Member(self.own_entry(false));
-        self.out
-            .push(event::Action::Store(self.view.version(&key), row));
     }
 
-    fn own_entry(&self, released: bool) -> event::Entry {
-        event::Entry {
+    /// Writes the entry of this run.
+    fn write_member(&mut self, released: bool) {
+        let row = event::Row::Member(event::Entry {
             vm: event::Vm {
                 name: self.setup.vm.clone(),
                 domain: self.setup.domain.clone(),
@@ -147,16 +164,15 @@
             incarnation: self.members.own().incarnation,
             released,
             doubted: false,
-        }
+        });
+        let version = self.view.version(&row.key());
+        self.out.push(event::Action::Store(version, row));
     }
 
     /// Tells that this run holds nothing any more.
     pub(crate) fn release_member(&mut self) {
         if self.arbiter == group::Arbiter::Store && self.members.is_listed() {
-            let key = event::RowKey::Member(self.setup.vm.clone());
-            let row = event::Row::Member(self.own_entry(true));
-            self.out
-                .push(event::Action::Store(self.view.version(&key), row));
+            self.write_member(true);
         }
     }
 
--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -247,6 +247,30 @@
     assert!(world.grants.iter().any(|(i, _)| *i == 1), "used again");
 }
 
+#[test]
+fn an_instance_that_started_again_is_used_at_once() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[1].alive = false;
+    let sessions: Vec<_> = (0..8).map(|_| world.session(0, "aged")).collect();
+    for _ in 0..300 {
+        for session in &sessions {
+            world.request(0, *session, false);
+        }
+        world.run(ms(10));
+    }
+    world.instances[1].alive = true;
+    world.instances[1].born = 2;
+    world.tell_all();
+    world.run(ms(20));
+    world.grants.clear();
+    for session in &sessions {
+        world.request(0, *session, false);
+    }
+    world.run(ms(5));
+    assert!(world.grants.iter().any(|(i, _)| *i == 1), "used again");
+}
+
 #[test]
 fn replicas_serve_aged_reads_while_there_is_no_leader() {
     let mut world = World::new(&Options::default());
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -41,6 +41,8 @@
     pub held: bool,
     /// Replication to it is cut.
     pub deaf: bool,
+    /// Start of its process.
+    pub born: u64,
 }
 
 enum Parcel {
@@ -197,6 +199,7 @@
             received: 10,
             held: false,
             deaf: false,
+            born: 1,
         };
         let mut world = Self {
             now: start,
@@ -334,7 +337,7 @@
                 domain: name(&format!("domain-{i}")),
                 leaving: fake.leaving,
                 leads: fake.role == position::Role::Primary,
-                born: 0,
+                born: fake.born,
             };
             view::Change::Instance(name(&format!("db-{i}")), Some(entry))
         });
@@ -364,6 +367,11 @@
         self.changes.push((self.version, key));
     }
 
+    /// Makes the store tell everything anew.
+    pub fn tell_all(&mut self) {
+        self.proved.fill(time::Time::default());
+    }
+
     /// Replaces a daemon by a new run on the same VM.
     pub fn restart(&mut self, vm: usize) {
         self.setups[vm].incarnation += 100;
