Answer DEALLOCATE in SQL for the session's own names

psycopg with an older libpq sends it by itself after a rollback, for names it prepared over the protocol; it was refused with 0A000. A single DEALLOCATE, in a simple query or over the extended protocol, now drops the session's name and is answered without a database; an unknown name gets 26000, and a failed transaction 25P02. SQL-level PREPARE and EXECUTE stay refused.

--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -21,6 +21,8 @@
     instance: Name,
     primary: bool,
     access: event::Access,
+    /// Its transaction can only be rolled back.
+    failed: bool,
 }
 
 /// How a batch ended for the caller.
@@ -165,19 +167,38 @@
             }
             Err(wire::Refused::Broken(failure)) => return Err(failure),
         };
+        if let Some(made) = plan.made() {
+            return self.answer(&made, end);
+        }
         let ended = self.execute(&plan, measure)?;
         self.statements.keep(&plan);
         Ok(ended)
     }
 
+    /// Answers a batch that needs no database.
+    fn answer(
+        &mut self,
+        made: &[(u8, &'static [u8])],
+        end: wire::End,
+    ) -> Result<Ended, wire::Failure> {
+        if self.held.as_ref().is_some_and(|held| held.failed) {
+            return self.refuse(&Refusal::new(Cause::TransactionFailed, 0), end);
+        }
+        wire::made(&mut self.caller.output, made);
+        if end != wire::End::Flush {
+            self.ready();
+        }
+        self.caller.flush()?;
+        Ok(Ended::Open)
+    }
+
     /// Answers a batch that is not run.
     fn refuse(&mut self, refusal: &Refusal, end: wire::End) -> Result<Ended, wire::Failure> {
-        if self
-            .held
-            .as_mut()
-            .is_some_and(|held| held.server.fail_transaction().is_err())
-        {
-            return Ok(Ended::Closed);
+        if let Some(held) = &mut self.held {
+            if held.server.fail_transaction().is_err() {
+                return Ok(Ended::Closed);
+            }
+            held.failed = true;
         }
         wire::error(&mut self.caller.output, refusal, "ERROR");
         if end == wire::End::Flush {
@@ -190,7 +211,12 @@
     }
 
     fn ready(&mut self) {
-        wire::ready(&mut self.caller.output, self.held.is_some());
+        let block = match &self.held {
+            None => wire::Block::Idle,
+            Some(held) if held.failed => wire::Block::Failed,
+            Some(_) => wire::Block::Open,
+        };
+        wire::ready(&mut self.caller.output, block);
     }
 
     fn execute(
@@ -259,6 +285,7 @@
                     instance: grant.instance,
                     primary: grant.primary,
                     access,
+                    failed: false,
                 });
             }
             self.release(request, event::Outcome::Unsent);
@@ -388,7 +415,7 @@
     fn complete(
         &mut self,
         exchange: wire::Exchange,
-        held: Held,
+        mut held: Held,
         measure: &mut Measure<'_>,
     ) -> Result<Ended, wire::Failure> {
         self.skipping = exchange.skipping;
@@ -398,6 +425,7 @@
             telemetry::Outcome::Replica
         };
         if exchange.status != b'I' {
+            held.failed = exchange.status == b'E';
             self.held = Some(held);
             self.caller.flush()?;
             return Ok(Ended::Open);
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -40,6 +40,10 @@
     TransactionLost,
     /// A read did not give a result.
     ReadFailed,
+    /// The session has no prepared statement of that name.
+    StatementUnknown,
+    /// An earlier statement of the transaction has failed.
+    TransactionFailed,
 }
 
 /// Whether the refused request ran.
@@ -78,6 +82,8 @@
             Cause::OutcomeUnknown => "08007",
             Cause::TransactionLost => "40000",
             Cause::ReadFailed => "58030",
+            Cause::StatementUnknown => "26000",
+            Cause::TransactionFailed => "25P02",
         }
     }
 
@@ -100,6 +106,8 @@
             Cause::OutcomeUnknown => "the result of the request is not known",
             Cause::TransactionLost => "the transaction was lost and rolled back",
             Cause::ReadFailed => "no database gave a result in time",
+            Cause::StatementUnknown => "no such prepared statement in this session",
+            Cause::TransactionFailed => "the transaction has failed; roll it back first",
         }
     }
 
--- a/components/wire/src/caller.rs
+++ b/components/wire/src/caller.rs
@@ -206,7 +206,7 @@
         out,
         &messages::startup::BackendKeyData::new(process, secret),
     );
-    reply::ready(out, false);
+    reply::ready(out, reply::Block::Idle);
     caller.flush()?;
     caller.set_read_timeout(None)
 }
--- a/components/wire/src/classify.rs
+++ b/components/wire/src/classify.rs
@@ -4,6 +4,8 @@
 //! that writes all the same is refused by a replica with 25006, runs nothing,
 //! and is sent to the primary.
 
+use crate::deallocate;
+
 /// Class of a statement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -13,6 +15,8 @@
     Write,
     /// Changes a parameter of the session.
     Set,
+    /// Drops names of the session; no database is needed.
+    Deallocate,
     /// Not carried by the proxy.
     Unsupported,
 }
@@ -66,6 +70,7 @@
     let has = |word: &str| words.list.iter().any(|w| w == word);
     match first.as_str() {
         "COPY" if has("STDIN") => Class::Unsupported,
+        "DEALLOCATE" if deallocate::Target::of(sql).is_some() => Class::Deallocate,
         "LISTEN" | "PREPARE" | "EXECUTE" | "DEALLOCATE" | "LOAD" => Class::Unsupported,
         "CREATE" if has("TEMP") || has("TEMPORARY") => Class::Unsupported,
         _ if words.several => Class::Write,
--- a/components/wire/src/exchange.rs
+++ b/components/wire/src/exchange.rs
@@ -51,7 +51,7 @@
     /// One message of these types ends the step.
     Until(&'static [u8]),
     /// Made up.
-    Made(u8),
+    Made(u8, &'static [u8]),
     /// ReadyForQuery.
     Ready,
     /// Answer to the question for the status, up to its ReadyForQuery.
@@ -158,7 +158,7 @@
                 let known = !coming.insert(statement.name.clone())
                     || server.prepared.contains(&statement.name);
                 if known {
-                    expects.push_back(Expect::Made(b'1'));
+                    expects.push_back(Expect::Made(b'1', b""));
                 } else {
                     put_parse(server, statement);
                     expects.push_back(Expect::Parse(statement.name.clone(), true));
@@ -180,7 +180,7 @@
                     expects.push_back(expected(frame.tag));
                 }
             }
-            statements::Step::Closed => expects.push_back(Expect::Made(b'3')),
+            statements::Step::Made(tag, body) => expects.push_back(Expect::Made(*tag, body)),
         }
     }
     expects
@@ -233,11 +233,11 @@
     }
 
     fn make_up(&mut self) {
-        while let Some(Expect::Made(tag)) = self.expects.front() {
-            let tag = *tag;
+        while let Some(Expect::Made(tag, body)) = self.expects.front() {
+            let (tag, body) = (*tag, *body);
             self.expects.pop_front();
             let out = self.release();
-            channel::put_frame(out, tag, &[]);
+            channel::put_frame(out, tag, body);
         }
     }
 
--- a/components/wire/src/reply.rs
+++ b/components/wire/src/reply.rs
@@ -5,6 +5,8 @@
 use kernel::position;
 use pgwire::messages::{self, Message};
 
+use crate::channel;
+
 /// Name of the parameter that carries a session's floor.
 pub const TOKEN_PARAMETER: &str = "ebonygauge.token";
 
@@ -29,16 +31,34 @@
     put(out, &messages::response::ErrorResponse::new(fields));
 }
 
-/// Ready for the next statement, outside of a transaction or in a failed one.
-pub fn ready(out: &mut BytesMut, failed: bool) {
-    let status = if failed {
-        messages::response::TransactionStatus::Error
-    } else {
-        messages::response::TransactionStatus::Idle
+/// Transaction block that the next statement meets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Block {
+    /// None.
+    Idle,
+    /// An open one.
+    Open,
+    /// One that can only be rolled back.
+    Failed,
+}
+
+/// Ready for the next statement.
+pub fn ready(out: &mut BytesMut, block: Block) {
+    let status = match block {
+        Block::Idle => messages::response::TransactionStatus::Idle,
+        Block::Open => messages::response::TransactionStatus::Transaction,
+        Block::Failed => messages::response::TransactionStatus::Error,
     };
     put(out, &messages::response::ReadyForQuery::new(status));
 }
 
+/// Messages that no database has sent.
+pub fn made(out: &mut BytesMut, messages: &[(u8, &'static [u8])]) {
+    for (tag, body) in messages {
+        channel::put_frame(out, *tag, body);
+    }
+}
+
 /// Tells the caller its floor.
 pub fn token(out: &mut BytesMut, floor: position::Floor) {
     parameter(out, TOKEN_PARAMETER, &floor.to_string());
--- a/components/wire/src/statements.rs
+++ b/components/wire/src/statements.rs
@@ -9,13 +9,16 @@
 use errors::Cause;
 use kernel::event;
 
-use crate::{batch, channel, classify, failure};
+use crate::{batch, channel, classify, deallocate, failure};
 
 /// Statements that a session may keep prepared.
 const STATEMENT_LIMIT: usize = 1_000;
 /// Statements that set parameters, kept for other connections.
 const SETTING_LIMIT: usize = 64;
 
+/// ParameterDescription without parameters.
+const NO_PARAMETERS: &[u8] = &[0, 0];
+
 /// A statement prepared by the session.
 #[derive(Debug)]
 pub struct Statement {
@@ -39,8 +42,8 @@
     Use(u8, Bytes, sync::Arc<Statement>, Bytes),
     /// Send as it is.
     Send(channel::Frame),
-    /// Answer CloseComplete without the database.
-    Closed,
+    /// Answer with a message of ours, without the database.
+    Made(u8, &'static [u8]),
 }
 
 /// A batch ready to be sent on any connection.
@@ -64,6 +67,8 @@
 #[derive(Debug, Default)]
 pub struct Statements {
     named: collections::HashMap<Bytes, sync::Arc<Statement>>,
+    /// Portals over statements that concern the session only.
+    portals: collections::HashMap<Bytes, deallocate::Target>,
     settings: Vec<String>,
 }
 
@@ -115,6 +120,7 @@
                 b'Q' => self.query(frame, &mut plan)?,
                 b'P' => self.parse(&frame, &mut plan)?,
                 b'B' => self.bind(&frame, &mut plan)?,
+                b'E' => self.execute(frame)?,
                 b'D' | b'C' => self.refer(frame, &mut plan)?,
                 _ => Step::Send(frame),
             };
@@ -123,9 +129,18 @@
         Ok(plan)
     }
 
-    fn query(&self, frame: channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
+    fn query(&mut self, frame: channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
         let (sql, _) = split(&frame.body)?;
         let sql = text(&sql)?;
+        if let Some(target) = deallocate::Target::of(&sql) {
+            let made = self.deallocate(&target)?;
+            plan.steps.push(made);
+            let sync = channel::Frame {
+                tag: b'S',
+                body: Bytes::new(),
+            };
+            return Ok(Step::Send(sync));
+        }
         note(plan, classify::classify(&sql), &sql)?;
         Ok(Step::Send(frame))
     }
@@ -148,16 +163,24 @@
             sql,
         });
         self.named.insert(name, statement.clone());
+        if class == classify::Class::Deallocate {
+            return Ok(Step::Made(b'1', b""));
+        }
         raise(plan, class);
         Ok(Step::Parse(statement))
     }
 
-    fn bind(&self, frame: &channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
+    fn bind(&mut self, frame: &channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
         let (portal, rest) = split(&frame.body)?;
         let (name, rest) = split(&rest)?;
         let Some(statement) = self.named.get(&name) else {
             return Ok(Step::Send(frame.clone()));
         };
+        self.portals.remove(&portal);
+        if let Some(target) = deallocate::Target::of(&statement.sql) {
+            self.portals.insert(portal, target);
+            return Ok(Step::Made(b'2', b""));
+        }
         note(plan, statement.class, &statement.sql)?;
         let mut before = BytesMut::with_capacity(portal.len() + 1);
         before.put_slice(&portal);
@@ -169,22 +192,77 @@
     fn refer(&mut self, frame: channel::Frame, plan: &mut Plan) -> Result<Step, Refused> {
         let kind = frame.body.first().copied();
         if kind != Some(b'S') {
-            return Ok(Step::Send(frame));
+            return self.refer_portal(frame);
         }
         let (name, rest) = split(&frame.body.slice(1..))?;
         if frame.tag == b'C' {
             self.named.remove(&name);
-            return Ok(Step::Closed);
+            return Ok(Step::Made(b'3', b""));
         }
         let Some(statement) = self.named.get(&name) else {
             return Ok(Step::Send(frame));
         };
+        if statement.class == classify::Class::Deallocate {
+            plan.steps.push(Step::Made(b't', NO_PARAMETERS));
+            return Ok(Step::Made(b'n', b""));
+        }
         raise(plan, statement.class);
         let before = frame.body.slice(..1);
         Ok(Step::Use(frame.tag, before, statement.clone(), rest))
     }
 }
 
+impl Statements {
+    /// A portal over a `DEALLOCATE` is known here only.
+    fn refer_portal(&mut self, frame: channel::Frame) -> Result<Step, Refused> {
+        let (portal, _) = split(&frame.body.slice(1.min(frame.body.len())..))?;
+        if !self.portals.contains_key(&portal) {
+            return Ok(Step::Send(frame));
+        }
+        if frame.tag == b'C' {
+            self.portals.remove(&portal);
+            return Ok(Step::Made(b'3', b""));
+        }
+        Ok(Step::Made(b'n', b""))
+    }
+
+    fn execute(&mut self, frame: channel::Frame) -> Result<Step, Refused> {
+        let (portal, _) = split(&frame.body)?;
+        match self.portals.get(&portal).cloned() {
+            Some(target) => self.deallocate(&target),
+            None => Ok(Step::Send(frame)),
+        }
+    }
+
+    /// Drops names of the session, and makes up the answer.
+    fn deallocate(&mut self, target: &deallocate::Target) -> Result<Step, Refused> {
+        match target {
+            deallocate::Target::All => self.named.retain(|name, _| name.is_empty()),
+            deallocate::Target::Name(name) => {
+                if self.named.remove(name).is_none() {
+                    return Err(Cause::StatementUnknown.into());
+                }
+            }
+        }
+        Ok(Step::Made(b'C', target.tag()))
+    }
+}
+
+impl Plan {
+    /// Messages that answer the batch, if it needs no database.
+    pub fn made(&self) -> Option<Vec<(u8, &'static [u8])>> {
+        let mut made = Vec::new();
+        for step in &self.steps {
+            match step {
+                Step::Made(tag, body) => made.push((*tag, *body)),
+                Step::Send(frame) if frame.tag == b'S' => {}
+                _ => return None,
+            }
+        }
+        (!made.is_empty()).then_some(made)
+    }
+}
+
 fn note(plan: &mut Plan, class: classify::Class, sql: &str) -> Result<(), Refused> {
     plan.boundary = classify::boundary(sql);
     match class {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -268,3 +268,44 @@
             .expect("other sessions go on");
     }
 }
+
+#[test]
+fn statements_prepared_by_the_protocol_are_dropped_in_sql() {
+    let lab = lab::Lab::start(lab::Plan::small().unhurried()).expect("the lab starts");
+    common::create_orders(&lab);
+    let mut raw = common::Raw::connect(&lab, 0);
+    // Parse of a named statement, and Sync.
+    raw.send(b'P', b"mine\0SELECT id FROM orders\0\0\0");
+    raw.send(b'S', b"");
+    assert_eq!(raw.tags(), "1Z");
+    raw.send(b'Q', b"DEALLOCATE mine\0");
+    assert_eq!(raw.tags(), "CZ");
+    raw.send(b'Q', b"DEALLOCATE mine\0");
+    assert_eq!(raw.tags(), "EZ");
+    assert_eq!(raw.code(), "26000");
+    // The same over the extended protocol, after another statement.
+    raw.send(b'P', b"yours\0SELECT id FROM orders\0\0\0");
+    raw.send(b'P', b"\0DEALLOCATE ALL\0\0\0");
+    raw.send(b'B', b"\0\0\0\0\0\0\0\0");
+    raw.send(b'D', b"P\0");
+    raw.send(b'E', b"\0\0\0\0\0");
+    raw.send(b'S', b"");
+    assert_eq!(raw.tags(), "112nCZ");
+    raw.send(b'Q', b"DEALLOCATE yours\0");
+    assert_eq!(raw.tags(), "EZ");
+    // In a transaction, open and failed.
+    raw.send(b'Q', b"BEGIN\0");
+    assert_eq!(raw.tags(), "CZ");
+    raw.send(b'Q', b"DEALLOCATE ALL\0");
+    assert_eq!(raw.tags(), "CZ");
+    assert_eq!(raw.block(), b'T');
+    raw.send(b'Q', b"DEALLOCATE nobody\0");
+    assert_eq!(raw.tags(), "EZ");
+    assert_eq!(raw.block(), b'E');
+    raw.send(b'Q', b"DEALLOCATE ALL\0");
+    assert_eq!(raw.tags(), "EZ");
+    assert_eq!(raw.code(), "25P02");
+    raw.send(b'Q', b"ROLLBACK\0");
+    assert_eq!(raw.tags(), "CZ");
+    assert_eq!(raw.block(), b'I');
+}
