--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,12 +2,10 @@
 
 #![allow(dead_code)]
 
-mod raw;
+pub mod raw;
 
 use postgres::{Client, NoTls, error::SqlState};
 
-pub use raw::Raw;
-
 /// A client of the first customer.
 pub fn connect(lab: &lab::Lab, vm: usize) -> Client {
     Client::connect(&lab.url(vm, 0, 0), NoTls).expect("the daemon lets the customer in")
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -273,7 +273,7 @@
 fn statements_prepared_by_the_protocol_are_dropped_in_sql() {
     let lab = lab::Lab::start(lab::Plan::small().unhurried()).expect("the lab starts");
     common::create_orders(&lab);
-    let mut raw = common::Raw::connect(&lab, 0);
+    let mut raw = common::raw::Raw::connect(&lab, 0);
     // Parse of a named statement, and Sync.
     raw.send(b'P', b"mine\0SELECT id FROM orders\0\0\0");
     raw.send(b'S', b"");
