Exchange over relays, draw tokens, and judge leaders by panels in large fleets

Change: pings carry the sender's own state only; beyond 8 VMs in a region two relays a failure domain carry the exchange; beyond 16 members four holders a customer keep its rate, and VMs draw whole tokens for the requests that wait; a panel of seven decides on a group's leader. Small fleets keep mesh, shares and majority. The budget moves to a folder, a file for a part and for draws.

--- /dev/null
+++ b/components/kernel/src/budget/draw.rs
@@ -0,0 +1,162 @@
+//! Tokens of a large fleet, held by a few VMs.
+//!
+//! Split over many VMs, a rate is less than one token on each, and shares that
+//! move towards demand chase single requests. Beyond `SHARED_MEMBERS` the units
+//! of a rate stay with a few holders, drawn by rendezvous hashing over the
+//! members of the epoch, and a VM draws whole tokens for the requests that wait
+//! on it: of the nearest holder first, and of the next as soon as one has none.
+//! A holder debits before it gives, so a lost or doubled message can lose
+//! tokens and never make any, whatever epoch the taker knows.
+
+use std::{collections, time as std_time};
+
+use config::Name;
+
+use super::{Ask, Budgets, Give, Part, Scarce, TOKEN};
+use crate::{event, panel, time};
+
+/// Members up to which every VM holds a part of each rate.
+const SHARED_MEMBERS: usize = 16;
+/// Holders of a rate: with two of them in each of two regions, on average, the
+/// loss of one leaves most of the rate.
+const HOLDERS: usize = 4;
+/// Time for a holder of another region to answer, before the next is asked.
+const DRAW_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(60);
+/// Time after which holders that had no token are worth asking again.
+const SPENT_PERIOD: std_time::Duration = std_time::Duration::from_millis(80);
+
+/// VMs that hold a budget for the whole fleet; none if all share it.
+pub(super) fn holders(scarce: &Scarce, epoch: &event::Epoch, polled: bool) -> Vec<Name> {
+    let Scarce::Rate(customer) = scarce else {
+        return Vec::new();
+    };
+    if polled || epoch.members.len() <= SHARED_MEMBERS {
+        return Vec::new();
+    }
+    let members = epoch.members.iter();
+    let mut ranked: Vec<_> = members
+        .map(|member| (panel::weight(customer, &member.vm), &member.vm))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let drawn = ranked.into_iter().take(HOLDERS);
+    drawn.map(|(_, vm)| vm.clone()).collect()
+}
+
+/// Part of a VM among the holders; the first take the remainder.
+pub(super) fn part(holders: &[Name], own: &event::Member, total: u64) -> u64 {
+    let count = u64::try_from(holders.len()).unwrap_or(u64::MAX);
+    let rank = holders.iter().position(|holder| *holder == own.vm);
+    let rank = rank.and_then(|rank| u64::try_from(rank).ok());
+    rank.map_or(0, |rank| total / count + u64::from(rank < total % count))
+}
+
+impl Part {
+    /// Whether all holders have said of late that they have no token.
+    pub(super) fn is_spent(&self, now: time::Time) -> bool {
+        self.rounds() > 0 && now.since(self.asked) <= SPENT_PERIOD
+    }
+
+    /// Times that every holder was asked in vain.
+    fn rounds(&self) -> usize {
+        let barren = usize::try_from(self.barren).unwrap_or(usize::MAX);
+        barren / self.holders.len().max(1)
+    }
+
+    /// Time in which the fleet gets as many tokens.
+    pub(super) fn drawn_wait(&self, tokens: u64) -> Option<std_time::Duration> {
+        let micros = (tokens * TOKEN).checked_div(self.limit.rate)?;
+        Some(std_time::Duration::from_micros(micros))
+    }
+
+    fn lack(&self, now: time::Time) -> u64 {
+        let waiting = self.waiting.max(u64::from(self.pressed));
+        waiting.saturating_sub(self.available(now) / TOKEN)
+    }
+
+    fn is_due(&self, now: time::Time) -> bool {
+        let waited = now.since(self.asked);
+        if self.rounds() > 0 {
+            return waited > SPENT_PERIOD;
+        }
+        self.answered || waited >= DRAW_TIMEOUT
+    }
+}
+
+impl Budgets {
+    /// Notes how many requests of each customer wait for a token.
+    pub fn wait_for(&mut self, waiting: &collections::BTreeMap<Name, u64>) {
+        for (scarce, part) in &mut self.parts {
+            if let Scarce::Rate(customer) = scarce {
+                part.waiting = waiting.get(customer).copied().unwrap_or(0);
+            }
+        }
+    }
+
+    /// Asks for tokens of the holders.
+    pub(super) fn draws(
+        &mut self,
+        peers: &[Name],
+        near: &[Name],
+        now: time::Time,
+        out: &mut Vec<(Name, Ask)>,
+    ) {
+        let own = &self.own.vm;
+        for (scarce, part) in &mut self.parts {
+            let lack = part.lack(now);
+            if part.holders.is_empty() || lack == 0 || !part.is_due(now) {
+                continue;
+            }
+            let reached = part.holders.iter();
+            let reached = reached.filter(|vm| *vm != own && peers.contains(vm));
+            let mut order: Vec<_> = reached.collect();
+            order.sort_by_key(|vm| !near.contains(vm));
+            let turn = usize::try_from(part.barren).unwrap_or(0);
+            let Some(holder) = order.get(turn % order.len().max(1)) else {
+                continue;
+            };
+            self.nonce += 1;
+            self.asks.insert(self.nonce, scarce.clone());
+            let ask = Ask {
+                scarce: scarce.clone(),
+                epoch: self.epoch.number,
+                nonce: self.nonce,
+                units: 0,
+                tokens: lack,
+            };
+            out.push(((*holder).clone(), ask));
+            part.asked = now;
+            part.pressed = false;
+            part.answered = false;
+            part.barren += 1;
+        }
+    }
+
+    /// Debits tokens; an empty give tells that there are none.
+    pub(super) fn give_tokens(&mut self, ask: &Ask, now: time::Time) -> Option<Give> {
+        let part = self.parts.get_mut(&ask.scarce)?;
+        part.fill(now);
+        let whole = (part.level / TOKEN).min(ask.tokens);
+        part.level -= whole * TOKEN;
+        Some(Give {
+            scarce: ask.scarce.clone(),
+            epoch: ask.epoch,
+            nonce: ask.nonce,
+            units: 0,
+            tokens: whole * TOKEN,
+        })
+    }
+
+    /// Takes tokens that a holder gave; false if nothing has changed.
+    pub(super) fn credit_tokens(&mut self, give: &Give, now: time::Time) -> bool {
+        self.asks.remove(&give.nonce);
+        let Some(part) = self.parts.get_mut(&give.scarce) else {
+            return false;
+        };
+        part.answered = true;
+        if give.tokens > 0 {
+            part.drawn = (part.drawn_at(now) + give.tokens, now);
+            part.barren = 0;
+        }
+        true
+    }
+}
--- a/components/kernel/src/budget.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -14,6 +14,11 @@
 
 use crate::{event, sharing, time};
 
+mod draw;
+mod part;
+
+use part::Part;
+
 /// Units of a customer's budget.
 pub const RATE_UNITS: u64 = 1_000_000;
 /// Micro-tokens that a request costs.
@@ -24,8 +29,6 @@
 const START_PARTS: u64 = 5;
 /// Asks remembered, so that late answers still count.
 const ASKS: usize = 4096;
-/// Period over which demand is averaged.
-const DEMAND_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
 /// Time for which a connection that is no longer needed is kept.
 const RELEASE_PERIOD: std_time::Duration = std_time::Duration::from_secs(2);
 /// Time for a taker to confirm what it was given.
@@ -57,6 +60,8 @@
     pub nonce: u64,
     /// Units wanted.
     pub units: u64,
+    /// Whole tokens wanted of a VM that holds them for the fleet.
+    pub tokens: u64,
 }
 
 /// Gives units.
@@ -84,76 +89,6 @@
     pub burst: u64,
 }
 
-/// This VM's part of one budget.
-#[derive(Debug)]
-struct Part {
-    total: u64,
-    equal: u64,
-    units: u64,
-    level: u64,
-    carry: u64,
-    filled: time::Time,
-    limit: Limit,
-    count: u64,
-    demand: u64,
-    measured: time::Time,
-    asked: time::Time,
-    barren: u32,
-    /// It has never held tokens.
-    fresh: bool,
-}
-
-impl Part {
-    fn cap(&self) -> u64 {
-        self.limit.burst * self.units
-    }
-
-    /// Level and remainder at `now`.
-    fn filled_at(&self, now: time::Time) -> (u64, u64) {
-        let dt = time::micros(now.since(self.filled));
-        let gain = u128::from(self.limit.rate) * u128::from(self.units) * u128::from(dt)
-            + u128::from(self.carry);
-        let whole = u64::try_from(gain / u128::from(RATE_UNITS)).unwrap_or(u64::MAX);
-        let carry = u64::try_from(gain % u128::from(RATE_UNITS)).unwrap_or(0);
-        (self.level.saturating_add(whole).min(self.cap()), carry)
-    }
-
-    fn fill(&mut self, now: time::Time) {
-        (self.level, self.carry) = self.filled_at(now);
-        self.filled = now;
-    }
-
-    /// Averages the demand of rate budgets, in units.
-    fn measure(&mut self, now: time::Time) {
-        let span = now.since(self.measured);
-        if span < DEMAND_PERIOD {
-            return;
-        }
-        let per_second = self.count * 1_000_000 / time::micros(span).max(1);
-        let units = per_second * RATE_UNITS / self.limit.rate.max(1);
-        self.demand = (self.demand * 3 + units) / 4;
-        self.count = 0;
-        self.measured = now;
-    }
-
-    fn share(&self, members: usize) -> sharing::Share {
-        let members = u64::try_from(members).unwrap_or(u64::MAX);
-        sharing::Share {
-            held: self.units,
-            equal: self.total / (members + 1),
-            demand: self.demand,
-        }
-    }
-
-    fn remove(&mut self, units: u64) -> u64 {
-        let tokens = u128::from(self.level) * u128::from(units) / u128::from(self.units.max(1));
-        let tokens = u64::try_from(tokens).unwrap_or(0);
-        self.units -= units;
-        self.level = (self.level - tokens).min(self.cap());
-        tokens
-    }
-}
-
 /// All shares of this VM.
 pub struct Budgets {
     own: event::Member,
@@ -217,6 +152,7 @@
         self.gives.clear();
         for (scarce, part) in &mut self.parts {
             part.fill(now);
+            part.holders = draw::holders(scarce, &self.epoch, self.polled);
             part.equal = equal_share(&self.epoch, &self.own, scarce, part.total, self.polled);
             let target = if self.joined { part.equal } else { 0 };
             part.units = part.units.min(target);
@@ -273,6 +209,7 @@
     /// Makes known a budget, or its new limit.
     pub fn configure(&mut self, scarce: Scarce, total: u64, limit: Limit, now: time::Time) {
         let equal = equal_share(&self.epoch, &self.own, &scarce, total, self.polled);
+        let holders = draw::holders(&scarce, &self.epoch, self.polled);
         let units = if self.grown && self.joined { equal } else { 0 };
         let part = self.parts.entry(scarce).or_insert_with(|| Part {
             total,
@@ -287,6 +224,11 @@
             measured: now,
             asked: time::Time::default(),
             barren: 0,
+            holders,
+            drawn: (0, time::Time::default()),
+            waiting: 0,
+            pressed: false,
+            answered: false,
             fresh: true,
         });
         part.fill(now);
@@ -309,6 +251,7 @@
     /// Raises the demand at once, for a request that finds no token.
     pub fn press(&mut self, customer: &Name) {
         if let Some(part) = self.parts.get_mut(&Scarce::Rate(customer.clone())) {
+            part.pressed = true;
             let step = (part.total / 16).max(1);
             // Below this part of the burst there is never a whole token.
             let token = part.total.div_ceil(part.limit.burst.max(1));
@@ -320,7 +263,7 @@
     /// Whether the customer has a token.
     pub fn has(&self, customer: &Name, now: time::Time) -> bool {
         let part = self.parts.get(&Scarce::Rate(customer.clone()));
-        part.is_some_and(|part| part.filled_at(now).0 >= TOKEN)
+        part.is_some_and(|part| part.available(now) >= TOKEN)
     }
 
     /// Takes a token of the customer, if there is one.
@@ -329,6 +272,10 @@
             return false;
         };
         part.fill(now);
+        if part.drawn_at(now) >= TOKEN {
+            part.drawn.0 -= TOKEN;
+            return true;
+        }
         if part.level < TOKEN {
             return false;
         }
@@ -339,6 +286,9 @@
     /// Time until `position` more tokens have come in at the present share.
     pub fn wait(&self, customer: &Name, position: u64) -> Option<std_time::Duration> {
         let part = self.parts.get(&Scarce::Rate(customer.clone()))?;
+        if !part.holders.is_empty() {
+            return part.drawn_wait(position);
+        }
         let speed = part.limit.rate * part.units;
         if speed == 0 || part.cap() < TOKEN {
             return None;
@@ -354,6 +304,9 @@
         let Some(part) = self.parts.get(&Scarce::Rate(customer.clone())) else {
             return false;
         };
+        if !part.holders.is_empty() {
+            return !part.is_spent(now);
+        }
         let rested = now.since(part.asked) > BARREN_PERIOD;
         self.policy.moves() && (!self.grown || rested || part.barren < sharing::BARREN_ROUNDS)
     }
@@ -367,7 +320,7 @@
     /// connections may be too few for a part on every VM.
     pub fn is_usable(&self) -> bool {
         let held = |(scarce, part): (&Scarce, &Part)| match scarce {
-            Scarce::Rate(_) => part.units > 0,
+            Scarce::Rate(_) => part.units > 0 || !part.holders.is_empty(),
             Scarce::Connections(_) => part.units > 0 || part.equal == 0,
         };
         self.grown && self.parts.iter().all(held)
@@ -392,11 +345,18 @@
     /// are near.
     pub fn asks(&mut self, peers: &[Name], near: &[Name], now: time::Time) -> Vec<(Name, Ask)> {
         let mut out = Vec::new();
-        if peers.is_empty() || !self.grown || self.closing {
+        if peers.is_empty() || self.closing {
+            return out;
+        }
+        self.draws(peers, near, now, &mut out);
+        if !self.grown {
             return out;
         }
         let members = self.epoch.members.len();
         for (scarce, part) in &mut self.parts {
+            if !part.holders.is_empty() {
+                continue;
+            }
             if matches!(scarce, Scarce::Rate(_)) {
                 part.fill(now);
                 part.measure(now);
@@ -422,6 +382,7 @@
                     epoch: self.epoch.number,
                     nonce: self.nonce,
                     units,
+                    tokens: 0,
                 };
                 out.push((peers[self.turn].clone(), ask));
             }
@@ -434,6 +395,9 @@
 
     /// Debits and gives what can be spared.
     pub fn give(&mut self, ask: &Ask, now: time::Time) -> Option<Give> {
+        if ask.tokens > 0 {
+            return self.give_tokens(ask, now);
+        }
         let repeated = self.gives.contains_key(&ask.nonce);
         if ask.epoch != self.epoch.number || !self.grown || repeated {
             return None;
@@ -474,7 +438,13 @@
 
     /// Credits units given for an ask that has not been answered before.
     pub fn credit(&mut self, give: &Give, now: time::Time) -> bool {
-        if give.epoch != self.epoch.number || self.asks.get(&give.nonce) != Some(&give.scarce) {
+        if self.asks.get(&give.nonce) != Some(&give.scarce) {
+            return false;
+        }
+        if give.units == 0 {
+            return self.credit_tokens(give, now);
+        }
+        if give.epoch != self.epoch.number {
             return false;
         }
         self.asks.remove(&give.nonce);
@@ -502,6 +472,10 @@
         return 0;
     };
     let rank = u64::try_from(rank).unwrap_or(u64::MAX);
+    let holders = draw::holders(scarce, epoch, polled);
+    if !holders.is_empty() {
+        return draw::part(&holders, own, total);
+    }
     let total = match scarce {
         Scarce::Rate(_) => total,
         // Every member polls over a connection of its own, and so does a VM
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -1,6 +1,6 @@
 //! The half of the daemon that talks to peers, operators and the platform.
 
-use std::{sync, time as std_time};
+use std::{collections, sync, time as std_time};
 
 use config::Name;
 
@@ -88,15 +88,23 @@
         report
     }
 
+    /// What is known of this VM alone.
+    pub(crate) fn brief_report(&self) -> message::Report {
+        let epoch = self.budgets.epoch().number;
+        self.members.brief_report(self.revision(), epoch)
+    }
+
     pub(crate) fn ping(&mut self, at_once: bool) {
         let targets = self.members.due(self.now, at_once);
         if targets.is_empty() {
             return;
         }
-        let report = self.own_report();
+        // Only answers carry what is known of others: their age can be told.
+        let report = self.brief_report();
+        let ruled = self.arbiter == group::Arbiter::Store;
         let vms = self.members.vms().clone();
         for name in targets {
-            if self.members.is_unanswering(&name, self.now) {
+            if !ruled && self.members.is_unanswering(&name, self.now) {
                 self.send(name.clone(), message::Message::Vms(vms.clone()));
             }
             let ping = message::Message::Ping(self.now, report.clone());
@@ -311,6 +319,10 @@
                 near.push(name.clone());
             }
         }
+        let count = |lane: &collections::VecDeque<_>| u64::try_from(lane.len()).unwrap_or(u64::MAX);
+        let lanes = self.lanes.iter();
+        let waiting = lanes.map(|(name, lane)| (name.clone(), count(lane)));
+        self.budgets.wait_for(&waiting.collect());
         for (peer, ask) in self.budgets.asks(&peers, &near, now) {
             self.send(peer, message::Message::Ask(ask));
         }
@@ -331,8 +343,13 @@
         if !self.budgets.credit(give, self.now) {
             return;
         }
-        self.send(from.clone(), message::Message::Took(give.nonce));
-        self.resize_one(&give.scarce);
+        if give.units > 0 {
+            self.send(from.clone(), message::Message::Took(give.nonce));
+            self.resize_one(&give.scarce);
+        } else {
+            // One that has none leads to the next.
+            self.send_asks();
+        }
         match &give.scarce {
             budget::Scarce::Rate(_) => self.admit_lanes(),
             budget::Scarce::Connections(instance) => {
@@ -434,7 +451,12 @@
             group: group.clone(),
             term: self.pools[group].group.newest(),
         };
-        let peers: Vec<_> = self.members.peers().keys().cloned().collect();
+        let own = &self.setup.vm;
+        let peers: Vec<_> = match self.arbiter {
+            group::Arbiter::Instances => self.members.peers().keys().cloned().collect(),
+            group::Arbiter::Store => self.panel(group),
+        };
+        let peers: Vec<_> = peers.into_iter().filter(|peer| peer != own).collect();
         for peer in peers {
             self.send(peer, message::Message::Suspect(suspicion.clone()));
         }
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -100,7 +100,7 @@
         let arbiter = plugin::arbiter(&setup.policy.arbiter)?;
         let members = membership::Membership::new(
             setup.vm.clone(),
-            setup.region.clone(),
+            (setup.domain.clone(), setup.region.clone()),
             setup.incarnation,
             &setup.timing,
             arbiter,
--- a/components/kernel/src/epochs.rs
+++ b/components/kernel/src/epochs.rs
@@ -44,11 +44,7 @@
             .filter(|member| member.vm != own.vm)
             .map(|member| member.vm.clone())
             .collect();
-        let report = message::Report {
-            heard: Vec::new(),
-            positions: Vec::new(),
-            ..self.own_report()
-        };
+        let report = self.brief_report();
         for vm in others {
             let ping = message::Message::Ping(self.now, report.clone());
             self.send(vm, ping);
--- /dev/null
+++ b/components/kernel/src/exchange.rs
@@ -0,0 +1,143 @@
+//! Which VMs exchange reports with each other.
+//!
+//! In a small region every VM exchanges with every other, and one relay a
+//! region with the relays of the others. In a large region, where the store
+//! arbitrates, two relays a failure domain exchange with each other and serve
+//! the VMs of their domain: what a VM sends then no longer grows with the
+//! fleet, and what a relay sends grows with its domain.
+
+use std::collections;
+
+use config::Name;
+
+use crate::{
+    group,
+    membership::{Membership, Peer},
+    time,
+};
+
+/// Periods without an answer after which a VM no longer serves as relay.
+const RELAY_PERIODS: u32 = 5;
+/// VMs of a region up to which each exchanges with all others: the bytes of a
+/// mesh are still below those of its requests.
+const MESH_LIMIT: usize = 8;
+/// Relays of a failure domain, so that the loss of one is not noticed.
+const DOMAIN_RELAYS: usize = 2;
+
+impl Membership {
+    /// Whether relays of failure domains carry the exchange.
+    fn is_layered(&self) -> bool {
+        let near = |peer: &&Peer| {
+            let listed = peer.listed.as_ref();
+            listed.is_some_and(|vm| vm.region == self.region)
+        };
+        let others = self.peers.values().filter(near).count();
+        self.arbiter == group::Arbiter::Store && others >= MESH_LIMIT
+    }
+
+    /// The relays of the own failure domain; as one of them, those of the
+    /// region; as the region's first, also those of other regions.
+    fn layered_targets(&self, now: time::Time) -> Vec<Name> {
+        let mut domains = collections::BTreeMap::<&Name, Vec<&Name>>::new();
+        domains.entry(&self.domain).or_default().push(&self.vm);
+        for (name, peer) in &self.peers {
+            if let Some(vm) = &peer.listed
+                && vm.region == self.region
+                && self.may_relay(peer, now)
+            {
+                domains.entry(&vm.domain).or_default().push(name);
+            }
+        }
+        for names in domains.values_mut() {
+            names.sort_unstable();
+            names.truncate(DOMAIN_RELAYS);
+        }
+        let own = &domains[&self.domain];
+        if !own.contains(&&self.vm) {
+            return own.iter().map(|name| (*name).clone()).collect();
+        }
+        let relays = domains.into_values().flatten();
+        let mut targets: Vec<_> = relays.filter(|name| **name != self.vm).cloned().collect();
+        if self.is_relay(now) {
+            targets.extend(self.far_targets(now));
+        }
+        targets
+    }
+
+    /// Whether a VM answers, or has been listed too short a time to tell.
+    fn may_relay(&self, peer: &Peer, now: time::Time) -> bool {
+        let new = peer.proof == time::Time::default()
+            && now.since(peer.touch) <= self.period * RELAY_PERIODS;
+        new || self.responsive(peer, now)
+    }
+
+    /// One relay of each other region; all VMs of one that does not answer.
+    fn far_targets(&self, now: time::Time) -> Vec<Name> {
+        let mut relays = collections::BTreeMap::new();
+        for (name, peer) in &self.peers {
+            if let Some(vm) = &peer.listed
+                && vm.region != self.region
+                && self.responsive(peer, now)
+            {
+                relays.entry(&vm.region).or_insert(name);
+            }
+        }
+        let mut names: Vec<_> = relays.into_values().cloned().collect();
+        names.extend(self.unanswered_regions(now));
+        names
+    }
+
+    /// VMs that this one exchanges with.
+    pub fn targets(&self, now: time::Time) -> Vec<Name> {
+        if self.is_layered() {
+            self.layered_targets(now)
+        } else {
+            self.mesh_targets(now)
+        }
+    }
+
+    /// Its region, and as the region's relay the relays of the others.
+    fn mesh_targets(&self, now: time::Time) -> Vec<Name> {
+        let near = self.peers.iter().filter(|(_, peer)| {
+            let listed = peer.listed.as_ref();
+            listed.is_some_and(|vm| vm.region == self.region)
+        });
+        let mut names: Vec<_> = near.map(|(name, _)| name.clone()).collect();
+        if self.is_relay(now) {
+            names.extend(self.far_targets(now));
+        }
+        names
+    }
+
+    /// Whether this VM exchanges with other regions.
+    pub fn is_relay(&self, now: time::Time) -> bool {
+        !self.peers.iter().any(|(name, peer)| {
+            let near = peer
+                .listed
+                .as_ref()
+                .is_some_and(|vm| vm.region == self.region);
+            near && *name < self.vm && self.responsive(peer, now)
+        })
+    }
+
+    /// Every VM of the regions in which none has answered of late.
+    fn unanswered_regions(&self, now: time::Time) -> Vec<Name> {
+        let listed = || {
+            self.peers
+                .iter()
+                .filter_map(|(name, peer)| peer.listed.as_ref().map(|vm| (name, peer, vm)))
+        };
+        let answered: collections::BTreeSet<_> = listed()
+            .filter(|(_, peer, _)| self.responsive(peer, now))
+            .map(|(_, _, vm)| &vm.region)
+            .collect();
+        listed()
+            .filter(|(_, _, vm)| vm.region != self.region && !answered.contains(&vm.region))
+            .map(|(name, _, _)| name.clone())
+            .collect()
+    }
+
+    pub(super) fn responsive(&self, peer: &Peer, now: time::Time) -> bool {
+        peer.proof != time::Time::default() && now.since(peer.proof) <= self.period * RELAY_PERIODS
+    }
+}
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -82,10 +82,10 @@
     pub now: time::Time,
     /// This VM and run.
     pub own: event::Member,
-    /// VMs that go before this one.
+    /// VMs of the panel that go before this one.
     pub rank: usize,
-    /// VMs in the list, this one included.
-    pub members: usize,
+    /// VMs that decide on the leader, in the order in which they claim.
+    pub panel: Vec<Name>,
     /// VMs that may use the leader.
     pub peers: Vec<Name>,
     /// This VM stands in a list that is fresh, and goes on.
@@ -313,18 +313,19 @@
             self.told = Some(facts.now);
             out.push(Step::Suspect);
         }
-        if self.count_suspects(facts) * 2 > facts.members && facts.now >= lost + stagger {
+        if self.count_suspects(facts) * 2 > facts.panel.len() && facts.now >= lost + stagger {
             self.start(false, facts, out);
         }
     }
 
-    /// VMs that cannot reach the leader, this one included.
+    /// VMs of the panel that cannot reach the leader, this one included.
     fn count_suspects(&self, facts: &Facts<'_>) -> usize {
         let fresh = |at: &time::Time| facts.now.since(*at) <= facts.suspect * 2;
         let peers = self.suspects.iter().filter(|(vm, (term, at))| {
-            **vm != facts.own.vm && *term == facts.group.newest() && fresh(at)
+            let counts = **vm != facts.own.vm && facts.panel.contains(vm);
+            counts && *term == facts.group.newest() && fresh(at)
         });
-        peers.count() + 1
+        peers.count() + usize::from(facts.panel.contains(&facts.own.vm))
     }
 
     fn is_leaving(&self, facts: &Facts<'_>, stagger: std_time::Duration) -> bool {
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -11,9 +11,6 @@
 
 use crate::{event, group, message, time};
 
-/// Periods without an answer after which a VM no longer serves as relay.
-const RELAY_PERIODS: u32 = 5;
-
 /// What is known of another VM.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -56,30 +53,34 @@
 /// Membership as seen by one daemon.
 #[derive(Debug)]
 pub struct Membership {
-    vm: Name,
-    region: Name,
+    pub(super) vm: Name,
+    pub(super) domain: Name,
+    pub(super) region: Name,
     incarnation: u64,
-    peers: collections::BTreeMap<Name, Peer>,
+    pub(super) peers: collections::BTreeMap<Name, Peer>,
     vms: Vec<event::Vm>,
     own_listed: bool,
     stored: Option<time::Time>,
     pinged: Option<time::Time>,
-    period: std_time::Duration,
+    pub(super) period: std_time::Duration,
     refusal: std_time::Duration,
-    arbiter: group::Arbiter,
+    pub(super) arbiter: group::Arbiter,
 }
 
 impl Membership {
-    /// Membership of a daemon that has seen no list yet.
+    /// Membership of a daemon that has seen no list yet; `place` is its failure
+    /// domain and region.
     pub fn new(
         vm: Name,
-        region: Name,
+        place: (Name, Name),
         incarnation: u64,
         timing: &config::Timing,
         arbiter: group::Arbiter,
     ) -> Self {
+        let (domain, region) = place;
         Self {
             vm,
+            domain,
             region,
             incarnation,
             peers: collections::BTreeMap::new(),
@@ -156,60 +157,6 @@
         self.targets(now)
     }
 
-    /// VMs that this one exchanges with: its region, and as the region's relay
-    /// the relays of the others.
-    pub fn targets(&self, now: time::Time) -> Vec<Name> {
-        let mut names = Vec::new();
-        let mut relays = collections::BTreeMap::new();
-        for (name, peer) in &self.peers {
-            let Some(listed) = &peer.listed else {
-                continue;
-            };
-            if listed.region == self.region {
-                names.push(name.clone());
-            } else if self.responsive(peer, now) {
-                relays.entry(&listed.region).or_insert(name);
-            }
-        }
-        if self.is_relay(now) {
-            names.extend(relays.into_values().cloned());
-            names.extend(self.unanswered_regions(now));
-        }
-        names
-    }
-
-    /// Whether this VM exchanges with other regions.
-    pub fn is_relay(&self, now: time::Time) -> bool {
-        !self.peers.iter().any(|(name, peer)| {
-            let near = peer
-                .listed
-                .as_ref()
-                .is_some_and(|vm| vm.region == self.region);
-            near && *name < self.vm && self.responsive(peer, now)
-        })
-    }
-
-    /// Every VM of the regions in which none has answered of late.
-    fn unanswered_regions(&self, now: time::Time) -> Vec<Name> {
-        let listed = || {
-            self.peers
-                .iter()
-                .filter_map(|(name, peer)| peer.listed.as_ref().map(|vm| (name, peer, vm)))
-        };
-        let answered: collections::BTreeSet<_> = listed()
-            .filter(|(_, peer, _)| self.responsive(peer, now))
-            .map(|(_, _, vm)| &vm.region)
-            .collect();
-        listed()
-            .filter(|(_, _, vm)| vm.region != self.region && !answered.contains(&vm.region))
-            .map(|(name, _, _)| name.clone())
-            .collect()
-    }
-
-    fn responsive(&self, peer: &Peer, now: time::Time) -> bool {
-        peer.proof != time::Time::default() && now.since(peer.proof) <= self.period * RELAY_PERIODS
-    }
-
     /// Report for an exchange.
     pub fn report(&self, now: time::Time, revision: u64, epoch: u64) -> message::Report {
         let heard = self
@@ -224,19 +171,29 @@
                 epoch: peer.epoch,
             })
             .collect();
+        message::Report {
+            heard,
+            ..self.brief_report(revision, epoch)
+        }
+    }
+
+    /// Report of this VM alone.
+    pub fn brief_report(&self, revision: u64, epoch: u64) -> message::Report {
         message::Report {
             incarnation: self.incarnation,
             revision,
             epoch,
             listed: !self.vms.is_empty(),
-            heard,
+            heard: Vec::new(),
             positions: Vec::new(),
         }
     }
 
-    /// Takes in a ping: proof for silence only.
+    /// Takes in a ping. It is proof for silence only, except where the store
+    /// arbitrates: there nothing but the exchange itself follows from proofs.
     pub fn pinged(&mut self, from: &Name, now: time::Time, report: &message::Report) {
-        self.learn(from, now, report, None);
+        let ruled = self.arbiter == group::Arbiter::Store;
+        self.learn(from, now, report, ruled.then_some(now));
     }
 
     /// Takes in the answer to a ping sent at `sent`. `current` tells whether
--- /dev/null
+++ b/components/kernel/src/panel.rs
@@ -0,0 +1,33 @@
+//! Which VMs decide that the leader of a group is lost.
+//!
+//! In a small fleet all of them. In a large one few have traffic to any one
+//! leader, and a majority would have to poll it first, so a panel is drawn for
+//! each group by rendezvous hashing: every VM that knows the same list draws
+//! the same panel, and the groups' panels spread over the fleet. Safety does
+//! not rest on it; the claim of the group's row does that.
+
+use std::hash::{Hash, Hasher};
+
+use config::Name;
+
+/// VMs of a panel: a majority of it is as many as a small fleet needs.
+pub const PANEL: usize = 7;
+
+/// The panel of a group, in the order in which its VMs claim.
+pub fn draw(group: &Name, members: &[Name]) -> Vec<Name> {
+    if members.len() <= PANEL {
+        return members.to_vec();
+    }
+    let mut ranked: Vec<_> = members.iter().map(|vm| (weight(group, vm), vm)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let drawn = ranked.into_iter().take(PANEL);
+    drawn.map(|(_, vm)| vm.clone()).collect()
+}
+
+/// Rank of a VM for a name; the same on every VM of one release.
+pub fn weight(name: &Name, vm: &Name) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    name.hash(&mut hasher);
+    vm.hash(&mut hasher);
+    hasher.finish()
+}
--- a/components/kernel/src/replacing.rs
+++ b/components/kernel/src/replacing.rs
@@ -2,7 +2,7 @@
 
 use config::Name;
 
-use crate::{daemon, event, handover, journal, message, time};
+use crate::{daemon, event, handover, journal, message, panel, time};
 
 impl daemon::Daemon {
     /// Moves the replacement of a group's leader on.
@@ -11,9 +11,9 @@
             return;
         }
         let peers = self.closing_peers();
-        let live = self.members.live(self.now);
         let own = self.members.own();
-        let rank = live.iter().position(|member| *member == own);
+        let panel = self.panel(group);
+        let rank = panel.iter().position(|vm| *vm == own.vm);
         let usable = self.members.sees_majority(self.now) && !self.is_superseded();
         let busy = self.count_granted(group);
         let (version, leader) = match self.view.leader(group) {
@@ -26,8 +26,8 @@
         let facts = handover::Facts {
             now: self.now,
             own,
-            rank: rank.unwrap_or(live.len()),
-            members: self.members.vms().len(),
+            rank: rank.unwrap_or(panel.len()),
+            panel,
             peers,
             usable: usable && !self.stopping,
             version,
@@ -46,6 +46,21 @@
         }
     }
 
+    /// VMs that decide on the leader of a group: those that claim first come
+    /// first.
+    pub(crate) fn panel(&self, group: &Name) -> Vec<Name> {
+        let live = self.members.live(self.now);
+        let mut names: Vec<_> = live.into_iter().map(|member| member.vm).collect();
+        let listed = self.members.vms();
+        if listed.len() <= panel::PANEL {
+            // The silent ones count as well until they are removed.
+            let silent = listed.iter().filter(|vm| !names.contains(&vm.name));
+            let silent: Vec<_> = silent.map(|vm| vm.name.clone()).collect();
+            names.extend(silent);
+        }
+        panel::draw(group, &names)
+    }
+
     /// Whether the leader of a group is as it should be.
     fn is_calm(&self, group: &Name) -> bool {
         let Some(pool) = self.pools.get(group) else {
--- /dev/null
+++ b/components/kernel/tests/large.rs
@@ -0,0 +1,93 @@
+//! Fleets whose regions are too large for a mesh.
+
+#[allow(dead_code)]
+mod ruled;
+
+use ruled::{Options, World, ms};
+
+/// 24 VMs of one region in three failure domains.
+fn large() -> World {
+    World::new(&Options {
+        vms: 24,
+        ..Options::default()
+    })
+}
+
+#[test]
+fn a_large_region_exchanges_over_relays() {
+    let mut world = large();
+    world.exchanged = 0;
+    world.run(ms(2000));
+    // Each of 18 VMs asks two relays, and each of 6 relays the five others, four
+    // times in 2 s; every ask has its answer.
+    let bound = (18 * 2 + 6 * 5) * 2 * 4;
+    assert!(world.exchanged <= bound, "{}", world.exchanged);
+    assert!(!world.recorded("removed from the store"));
+}
+
+#[test]
+fn a_vm_that_died_is_removed_and_no_other() {
+    let mut world = large();
+    // A relay and a VM that is none.
+    world.dead.extend([0, 23]);
+    world.run(ms(12_000));
+    for vm in 0..24 {
+        let text = format!("vm-{vm} removed from the store");
+        assert_eq!(world.recorded(&text), [0, 23].contains(&vm), "{text}");
+    }
+}
+
+#[test]
+fn the_loss_of_a_failure_domain_is_told_to_the_others() {
+    let mut world = large();
+    world.dead.extend((0..24).filter(|vm| vm % 3 == 1));
+    world.run(ms(12_000));
+    for vm in 0..24 {
+        let text = format!("vm-{vm} removed from the store");
+        assert_eq!(world.recorded(&text), vm % 3 == 1, "{text}");
+    }
+}
+
+/// Sends the customer's reads through all VMs in turn for 5 s; returns how many
+/// were let in and how many were refused.
+fn play(world: &mut World, period: u64) -> (usize, usize) {
+    let sessions: Vec<_> = (0..24).map(|vm| world.session(vm, "keyed")).collect();
+    world.grants.clear();
+    world.refused.clear();
+    for i in 0..usize::try_from(5000 / period).expect("a count") {
+        // A step that is prime to 24 visits all VMs.
+        let vm = i * 7 % 24;
+        world.request(vm, sessions[vm], false);
+        world.run(ms(period));
+    }
+    world.run(ms(500));
+    (world.grants.len(), world.refused.len())
+}
+
+#[test]
+fn a_customer_within_its_rate_is_served_by_any_vm() {
+    let mut world = World::new(&Options {
+        vms: 24,
+        limit: (40, 20),
+        connections: 100,
+        ..Options::default()
+    });
+    world.run(ms(3000));
+    assert_eq!(play(&mut world, 50), (100, 0), "{:?}", world.log);
+}
+
+#[test]
+fn a_customer_at_seven_times_its_rate_gets_its_rate() {
+    let mut world = World::new(&Options {
+        vms: 24,
+        limit: (40, 20),
+        connections: 100,
+        ..Options::default()
+    });
+    world.run(ms(3000));
+    let (granted, refused) = play(&mut world, 5);
+    // 5.5 s of its rate and its burst; and a fifth less for tokens that lie
+    // with a holder while another is asked.
+    assert!(granted <= 40 * 11 / 2 + 20, "{granted}");
+    assert!(granted >= (40 * 5 + 20) * 4 / 5, "{granted} and {refused}");
+}
--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -76,7 +76,7 @@
 
 #[test]
 fn a_lost_leader_is_replaced_though_only_one_vm_has_traffic() {
-    for vms in [2, 3, 7] {
+    for vms in [2, 3, 7, 24] {
         let mut world = World::new(&Options {
             vms,
             ..Options::default()
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -8,6 +8,8 @@
 use errors::Cause;
 use kernel::{Daemon, Setup, event, leader, message, position, time, view};
 
+/// Key of the customer.
+const KEY: &str = "the-key";
 /// Step of the clock.
 const STEP: std_time::Duration = std_time::Duration::from_millis(5);
 /// One way between VMs, and to the store and the instances.
@@ -78,8 +80,14 @@
     pub refused: Vec<Cause>,
     pub grants: Vec<(usize, bool)>,
     pub asks: usize,
+    /// Pings and their answers.
+    pub exchanged: usize,
     /// Number of the configuration.
     pub revision: u64,
+    /// Rate and burst of the customer.
+    pub limit: (u32, u32),
+    /// Connections that an instance accepts.
+    pub connections: u32,
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
     changes: Vec<(u64, event::RowKey)>,
     version: u64,
@@ -99,6 +107,10 @@
     /// Regions of the VMs; the first where none is named.
     pub regions: Vec<&'static str>,
     pub lease_ms: u64,
+    /// Rate and burst of the customer on the route `keyed`.
+    pub limit: (u32, u32),
+    /// Connections that an instance accepts.
+    pub connections: u32,
     pub first_lease_ms: Option<u64>,
 }
 
@@ -108,6 +120,8 @@
             vms: 3,
             regions: Vec::new(),
             lease_ms: 1000,
+            limit: (1000, 1000),
+            connections: 16,
             first_lease_ms: None,
         }
     }
@@ -153,7 +167,7 @@
     }
 }
 
-fn document(revision: u64) -> view::Document {
+fn document(revision: u64, limit: (u32, u32), connections: u32) -> view::Document {
     let mut fleet = Fleet::default();
     let group = Group {
         durability: Durability::Primary,
@@ -169,10 +183,25 @@
         };
         fleet.routes.insert(name(route), entry);
     }
+    let keyed = Route {
+        customers: collections::BTreeSet::from([name("tienda")]),
+        age_ms: 1500,
+        reads: Reads::OwnAndAge,
+        ..Route::new(name("orders"))
+    };
+    fleet.routes.insert(name("keyed"), keyed);
+    let key = config::KeyDigest::of(KEY.as_bytes());
+    let customer = config::Customer {
+        rate: limit.0,
+        burst: limit.1,
+        weight: 1,
+        keys: collections::BTreeMap::from([(name("first"), key)]),
+    };
+    fleet.customers.insert(name("tienda"), customer);
     view::Document {
         revision,
         fleet,
-        connections: collections::BTreeMap::from([(name("orders"), 16)]),
+        connections: collections::BTreeMap::from([(name("orders"), connections)]),
     }
 }
 
@@ -219,7 +248,10 @@
             refused: Vec::new(),
             grants: Vec::new(),
             asks: 0,
+            exchanged: 0,
             revision: 7,
+            limit: options.limit,
+            connections: options.connections,
             rows: collections::BTreeMap::new(),
             changes: Vec::new(),
             version: 1,
@@ -318,6 +350,8 @@
         let instances = self.registrations();
         let configuration = vec![view::Change::Configuration(sync::Arc::new(document(
             self.revision,
+            self.limit,
+            self.connections,
         )))];
         let updates = [
             update(view::Part::Configuration, configuration),
@@ -451,8 +485,10 @@
     }
 
     fn send(&mut self, from: usize, to: &Name, message: message::Message) {
-        if matches!(message, message::Message::Ask(_)) {
-            self.asks += 1;
+        match message {
+            message::Message::Ask(_) => self.asks += 1,
+            message::Message::Ping(..) | message::Message::Pong(..) => self.exchanged += 1,
+            _ => {}
         }
         let Some(to) = self.setups.iter().position(|setup| setup.vm == *to) else {
             return;
@@ -598,7 +634,7 @@
         let id = event::SessionId(self.next);
         let opening = event::Opening {
             session: id,
-            digest: None,
+            digest: (route == "keyed").then(|| config::KeyDigest::of(KEY.as_bytes())),
             route: route.into(),
             token: None,
         };
--- a/components/peer/schema/peer.capnp
+++ b/components/peer/schema/peer.capnp
@@ -90,6 +90,7 @@
   epoch @1 :UInt64;
   nonce @2 :UInt64;
   units @3 :UInt64;
+  tokens @4 :UInt64;
 }
 
 struct Give {
--- a/components/peer/src/codec.rs
+++ b/components/peer/src/codec.rs
@@ -55,6 +55,7 @@
             to.set_epoch(ask.epoch);
             to.set_nonce(ask.nonce);
             to.set_units(ask.units);
+            to.set_tokens(ask.tokens);
             write_scarce(&ask.scarce, to.init_scarce());
         }
         message::Message::Give(give) => {
@@ -187,6 +188,7 @@
                 epoch: from.get_epoch(),
                 nonce: from.get_nonce(),
                 units: from.get_units(),
+                tokens: from.get_tokens(),
             })
         }
         Which::Give(from) => {
--- a/components/peer/src/peer_capnp.rs
+++ b/components/peer/src/peer_capnp.rs
@@ -3728,11 +3728,15 @@
         pub fn get_units(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3822,6 +3826,14 @@
         pub fn set_units(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3836,51 +3848,58 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 76] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 91] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(166, 37, 236, 0, 12, 153, 192, 193),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 74, 232, 197, 179, 240, 161, 214),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 99, 97, 114, 99, 101, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(217, 53, 119, 253, 244, 39, 239, 255),
@@ -3913,6 +3932,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3920,6 +3947,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3933,9 +3961,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,4,3];
         pub(crate) const TYPE_ID: u64 = 0xc1c0_990c_00ec_25a6;
     }
 }
