--- a/components/daemon/src/table.rs
+++ b/components/daemon/src/table.rs
@@ -12,6 +12,12 @@
 /// Longest pause after failures in a row.
 const FAILURE_PAUSE_LIMIT: time::Duration = time::Duration::from_millis(400);
 
+/// Shortest time between two reads of a part, so that many changes in a row
+/// come together; one change by itself is not delayed.
+const FEED_SPACING: time::Duration = time::Duration::from_millis(100);
+/// Time between two looks at whether the store has to be read here.
+const REST_PAUSE: time::Duration = time::Duration::from_millis(250);
+
 /// A call to the platform.
 #[derive(Debug)]
 pub enum Call {
@@ -122,7 +128,22 @@
     thread::spawn(move || {
         let mut failures = 0;
         let mut store = proof::StoreClock::default();
+        let mut resting = false;
         loop {
+            let reads = weak.upgrade().filter(|shell| !shell.is_halted());
+            let Some(reads) = reads.map(|shell| shell.inspect(kernel::Daemon::reads_store)) else {
+                return;
+            };
+            if !reads {
+                resting = true;
+                thread::sleep(REST_PAUSE);
+                continue;
+            }
+            if resting {
+                // Others have told of changes in between.
+                watch.restart();
+                resting = false;
+            }
             let sent = clock.now();
             let found = watch.next(wait);
             let received = clock.now();
@@ -142,6 +163,7 @@
                         changes: changes.list,
                     }));
                     drop(shell);
+                    thread::sleep(FEED_SPACING.saturating_sub(received.since(sent)));
                 }
                 Err(failure) => {
                     failures += 1;
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -58,6 +58,7 @@
             self.step_revisions();
         } else {
             self.keep_member();
+            self.follow();
         }
         self.ping(false);
         self.propose_epoch();
@@ -137,6 +138,9 @@
             message::Message::Suspect(suspicion) => self.suspected(from, &suspicion),
             message::Message::Close(claim) => self.close_leader(from, &claim),
             message::Message::Closed(claim) => self.closed_leader(from, &claim),
+            message::Message::Follow(follow) => self.followed(from, &follow),
+            message::Message::Passed(passed) => self.passed(from, passed),
+            message::Message::Changed => self.news(from),
             message::Message::Cancel(process, secret) => {
                 self.out.push(event::Action::Cancel(process, secret));
             }
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -7,8 +7,8 @@
 use errors::{Cause, Refusal};
 
 use crate::{
-    admission, budget, consistency, event, group, handover, journal, membership, plugin, position,
-    promotion, revision, sessions, time, view, warm,
+    admission, budget, consistency, event, following, group, handover, journal, membership, plugin,
+    position, promotion, revision, sessions, time, view, warm,
 };
 
 /// Retry hint where a database is missing, in ms.
@@ -77,6 +77,7 @@
     pub(crate) control: crate::control::Control,
     pub(crate) view: view::View,
     pub(crate) watching: crate::watching::Watching,
+    pub(crate) following: following::Following,
     pub(crate) arbiter: group::Arbiter,
     pub(crate) owner: collections::HashMap<Name, Name>,
     pub(crate) busy: collections::HashMap<Name, u32>,
@@ -111,6 +112,7 @@
             budgets: budget::Budgets::new(members.own(), sharing, polled),
             view: view::View::default(),
             watching: crate::watching::Watching::default(),
+            following: following::Following::default(),
             arbiter,
             members,
             setup,
--- a/components/kernel/src/exchange.rs
+++ b/components/kernel/src/exchange.rs
@@ -35,6 +35,26 @@
         self.arbiter == group::Arbiter::Store && others >= MESH_LIMIT
     }
 
+    /// VM of the own failure domain that reads the store for the others; none
+    /// if every VM reads it.
+    pub fn reader(&self, now: time::Time) -> Option<Name> {
+        if !self.is_layered() {
+            return None;
+        }
+        let near = self.peers.iter().filter(|(_, peer)| {
+            let listed = peer.listed.as_ref();
+            let own = listed.is_some_and(|vm| vm.domain == self.domain && !vm.leaving);
+            own && self.may_relay(peer, now)
+        });
+        let first = near.map(|(name, _)| name).min();
+        Some(
+            first
+                .filter(|name| **name < self.vm)
+                .unwrap_or(&self.vm)
+                .clone(),
+        )
+    }
+
     /// The relays of the own failure domain; as one of them, those of the
     /// region; as the region's first, also those of other regions.
     fn layered_targets(&self, now: time::Time) -> Vec<Name> {
--- a/components/kernel/src/message.rs
+++ b/components/kernel/src/message.rs
@@ -7,7 +7,7 @@
 use config::{Name, Note};
 use serde::{Deserialize, Serialize};
 
-use crate::{budget, event, position, time};
+use crate::{budget, event, position, time, view};
 
 /// How long ago the sender of a report heard of a VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,8 +77,46 @@
     pub term: position::Term,
 }
 
-/// A message between daemons.
+/// Asks a VM that reads the store for what has changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Follow {
+    /// When the asker sent it, on its own clock; returns in the answer.
+    pub sent: time::Time,
+    /// Run of the reader whose changes are known.
+    pub run: u64,
+    /// Number of the newest change known of each part.
+    pub known: Vec<(view::Part, u64)>,
+}
+
+/// What a VM that reads the store knows of one part.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PassedPart {
+    /// Part.
+    pub part: view::Part,
+    /// Age of its proof when this was sent, in microseconds.
+    pub age: u64,
+    /// Number of its newest change.
+    pub newest: u64,
+    /// The changes are all entries.
+    pub whole: bool,
+    /// Changes in order.
+    pub changes: Vec<view::Change>,
+}
+
+/// Answers `Follow`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Passed {
+    /// When the asker sent its ask.
+    pub sent: time::Time,
+    /// Run of the sender.
+    pub run: u64,
+    /// Parts that it knows.
+    pub parts: Vec<PassedPart>,
+}
+
+/// A message between daemons.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Message {
     /// Asks for a report; `sent` returns in the answer.
     Ping(time::Time, Report),
@@ -106,6 +144,12 @@
     Close(Claim),
     /// The sender no longer uses the leader, and acknowledges no commit of it.
     Closed(Claim),
+    /// Asks for what has changed in the store.
+    Follow(Follow),
+    /// What has changed in the store.
+    Passed(Passed),
+    /// The sender, which is followed, has news of the store.
+    Changed,
     /// Cancels a statement that runs at the receiver: process and secret.
     Cancel(i32, i32),
 }
--- a/components/kernel/src/view.rs
+++ b/components/kernel/src/view/mod.rs
@@ -9,11 +9,27 @@
 use std::{collections, net, sync};
 
 use config::{Fleet, Name};
+use serde::{Deserialize, Serialize};
 
 use crate::{event, leader, position, time};
 
+mod log;
+
 /// A part of the store that is watched by itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    derive_more::Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
 pub enum Part {
     /// Operators' configuration.
     #[display("configuration")]
@@ -26,8 +42,12 @@
     Rows,
 }
 
+/// Parts of the store.
+pub const PARTS: [Part; 3] = [Part::Configuration, Part::Instances, Part::Rows];
+
 /// Configuration as the operators wrote it; groups have no instances in it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Document {
     /// Number of the revision.
     pub revision: u64,
@@ -38,7 +58,8 @@
 }
 
 /// What an instance says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Registration {
     /// Group it belongs to.
     pub group: Name,
@@ -55,7 +76,8 @@
 }
 
 /// A change of one entry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Change {
     /// A new configuration.
     Configuration(sync::Arc<Document>),
@@ -85,6 +107,7 @@
     document: Option<sync::Arc<Document>>,
     instances: collections::BTreeMap<Name, Registration>,
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
+    log: log::Log,
 }
 
 impl View {
@@ -93,12 +116,52 @@
         let seen = self.seen.entry(update.part).or_default();
         *seen = (*seen).max(update.proved);
         let mut changed = update.whole && self.forget(update.part, &update.changes);
+        if changed {
+            // Entries that went with a whole read stand in no change.
+            self.log.cut(update.part);
+        }
         for change in update.changes {
-            changed |= self.change(change);
+            if self.change(change.clone()) {
+                self.log.push(update.part, change);
+                changed = true;
+            }
         }
         changed
     }
 
+    /// Number of the newest change of a part, in this run.
+    pub fn newest(&self, part: Part) -> u64 {
+        self.log.newest(part)
+    }
+
+    /// Changes of a part after a number, or all entries and true if they are no
+    /// longer known one by one.
+    pub fn changes(&self, part: Part, after: u64) -> (bool, Vec<Change>) {
+        match self.log.since(part, after) {
+            Some(changes) => (false, changes),
+            None => (true, self.entries(part)),
+        }
+    }
+
+    fn entries(&self, part: Part) -> Vec<Change> {
+        match part {
+            Part::Configuration => {
+                let document = self.document.iter().cloned();
+                document.map(Change::Configuration).collect()
+            }
+            Part::Instances => {
+                let all = self.instances.iter();
+                all.map(|(name, entry)| Change::Instance(name.clone(), Some(entry.clone())))
+                    .collect()
+            }
+            Part::Rows => {
+                let all = self.rows.iter();
+                all.map(|(key, row)| Change::Row(key.clone(), Some(row.clone())))
+                    .collect()
+            }
+        }
+    }
+
     /// Drops the entries of a part that a whole read no longer names.
     fn forget(&mut self, part: Part, changes: &[Change]) -> bool {
         let before = self.instances.len() + self.rows.len();
--- a/components/kernel/src/watching.rs
+++ b/components/kernel/src/watching.rs
@@ -50,6 +50,9 @@
             view::Part::Rows if changed => self.read_rows(),
             _ => {}
         }
+        if changed {
+            self.tell_followers();
+        }
         let configured = self.view.seen(view::Part::Configuration);
         let listed = self.view.seen(view::Part::Rows);
         if let (Some(configured), Some(listed)) = (configured, listed) {
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -91,3 +91,54 @@
     assert!(granted <= 40 * 11 / 2 + 20, "{granted}");
     assert!(granted >= (40 * 5 + 20) * 4 / 5, "{granted} and {refused}");
 }
+
+#[test]
+fn one_vm_a_failure_domain_reads_the_store() {
+    let mut world = large();
+    world.run(ms(1000));
+    world.readers.clear();
+    world.revision += 1;
+    world.tell_all();
+    world.run(ms(1000));
+    assert_eq!(world.readers.len(), 3, "{:?}", world.readers);
+    for vm in 0..24 {
+        assert_eq!(world.kernels[vm].revision(), 8, "VM {vm}");
+    }
+}
+
+/// Runs for 10 s, and notes VMs whose keyed requests are refused.
+fn stale(world: &mut World) -> std::collections::BTreeSet<usize> {
+    let mut stale = std::collections::BTreeSet::new();
+    for _ in 0..200 {
+        world.run(ms(50));
+        stale.extend((0..24).filter(|vm| !world.kernels[*vm].is_fresh()));
+    }
+    stale
+}
+
+#[test]
+fn followers_read_themselves_when_their_reader_dies() {
+    let mut world = large();
+    world.dead.insert(0);
+    let stale = stale(&mut world);
+    assert!(!stale.iter().any(|vm| *vm != 0), "{stale:?}");
+}
+
+#[test]
+fn followers_of_a_reader_without_the_store_read_themselves() {
+    let mut world = large();
+    world.cut_store.insert(0);
+    let stale = stale(&mut world);
+    assert!(!stale.iter().any(|vm| *vm != 0), "{stale:?}");
+}
+
+#[test]
+fn nobody_is_fresh_by_others_words_when_the_store_is_gone() {
+    let mut world = large();
+    world.cut_store.extend(0..24);
+    // The validity of keys, and nothing for the ways between VMs.
+    world.run(ms(4500));
+    for vm in 0..24 {
+        assert!(!world.kernels[vm].is_fresh(), "VM {vm}");
+    }
+}
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -91,6 +91,8 @@
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
     changes: Vec<(u64, event::RowKey)>,
     version: u64,
+    /// VMs that have read the store.
+    pub readers: collections::BTreeSet<usize>,
     fed: Vec<u64>,
     proved: Vec<time::Time>,
     queue: collections::BTreeMap<(time::Time, u64), Parcel>,
@@ -255,6 +257,7 @@
             rows: collections::BTreeMap::new(),
             changes: Vec::new(),
             version: 1,
+            readers: collections::BTreeSet::new(),
             fed: vec![0; options.vms],
             proved: vec![time::Time::default(); options.vms],
             queue: collections::BTreeMap::new(),
@@ -319,6 +322,12 @@
         if self.dead.contains(&vm) || self.frozen.contains(&vm) || self.cut_store.contains(&vm) {
             return;
         }
+        if !self.kernels[vm].reads_store() {
+            // It reads everything when it begins again.
+            self.fed[vm] = 0;
+            return;
+        }
+        self.readers.insert(vm);
         let first = self.fed[vm] == 0;
         let after = self.fed[vm];
         let fresh: Vec<_> = self
--- a/components/peer/schema/peer.capnp
+++ b/components/peer/schema/peer.capnp
@@ -25,6 +25,11 @@
     close @12 :Claim;
     # The leader is no longer used.
     closed @13 :Claim;
+    # What has changed in the store since.
+    follow @14 :Follow;
+    passed @15 :Passed;
+    # The sender, which is followed, has news of the store.
+    changed @16 :Void;
   }
 }
 
@@ -47,6 +52,20 @@
   age @3 :UInt64;
 }
 
+struct Follow {
+  sent @0 :UInt64;
+  run @1 :UInt64;
+  # Newest changes known, as JSON.
+  known @2 :Data;
+}
+
+struct Passed {
+  sent @0 :UInt64;
+  run @1 :UInt64;
+  # Parts of the store with their changes, as JSON.
+  parts @2 :Data;
+}
+
 struct Claim {
   group @0 :Text;
   token @1 :UInt64;
--- a/components/peer/src/codec.rs
+++ b/components/peer/src/codec.rs
@@ -74,6 +74,19 @@
         }
         message::Message::Close(claim) => write_claim(claim, to.init_close()),
         message::Message::Closed(claim) => write_claim(claim, to.init_closed()),
+        message::Message::Follow(follow) => {
+            let mut to = to.init_follow();
+            to.set_sent(follow.sent.0);
+            to.set_run(follow.run);
+            to.set_known(&to_json(&follow.known));
+        }
+        message::Message::Passed(passed) => {
+            let mut to = to.init_passed();
+            to.set_sent(passed.sent.0);
+            to.set_run(passed.run);
+            to.set_parts(&to_json(&passed.parts));
+        }
+        message::Message::Changed => to.set_changed(()),
         message::Message::Cancel(process, secret) => {
             let mut to = to.init_cancel();
             to.set_process(*process);
@@ -211,6 +224,23 @@
         }
         Which::Close(from) => message::Message::Close(read_claim(from?)?),
         Which::Closed(from) => message::Message::Closed(read_claim(from?)?),
+        Which::Follow(from) => {
+            let from = from?;
+            message::Message::Follow(message::Follow {
+                sent: time::Time(from.get_sent()),
+                run: from.get_run(),
+                known: json(from.get_known()?)?,
+            })
+        }
+        Which::Passed(from) => {
+            let from = from?;
+            message::Message::Passed(message::Passed {
+                sent: time::Time(from.get_sent()),
+                run: from.get_run(),
+                parts: json(from.get_parts()?)?,
+            })
+        }
+        Which::Changed(()) => message::Message::Changed,
         Which::Cancel(from) => {
             let from = from?;
             message::Message::Cancel(from.get_process(), from.get_secret())
--- a/components/peer/src/peer_capnp.rs
+++ b/components/peer/src/peer_capnp.rs
@@ -519,7 +519,7 @@
 }
 
 pub mod message {
-    pub use self::Which::{Ping,Pong,Fetch,Notes,Snapshot,Epoch,Ask,Give,Suspect,Cancel,Vms,Took,Close,Closed};
+    pub use self::Which::{Ping,Pong,Fetch,Notes,Snapshot,Epoch,Ask,Give,Suspect,Cancel,Vms,Took,Close,Closed,Follow,Passed,Changed};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -642,6 +642,16 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_follow(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 14 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_passed(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 15 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -714,6 +724,21 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                14 => {
+                    ::core::result::Result::Ok(Follow(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                15 => {
+                    ::core::result::Result::Ok(Passed(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                16 => {
+                    ::core::result::Result::Ok(Changed(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -962,6 +987,40 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_follow(&mut self, value: crate::peer_capnp::follow::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 14);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_follow(self, ) -> crate::peer_capnp::follow::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 14);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_follow(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 14 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_passed(&mut self, value: crate::peer_capnp::passed::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 15);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_passed(self, ) -> crate::peer_capnp::passed::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 15);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_passed(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 15 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_changed(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 16);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -1034,6 +1093,21 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                14 => {
+                    ::core::result::Result::Ok(Follow(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                15 => {
+                    ::core::result::Result::Ok(Passed(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                16 => {
+                    ::core::result::Result::Ok(Changed(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -1048,122 +1122,143 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 232] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 277] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(123, 240, 228, 116, 247, 194, 88, 216),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(39, 74, 232, 197, 179, 240, 161, 214),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 14, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 17, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 115, 115, 97),
             ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 244, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 240, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 239, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 105, 110, 103, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(137, 118, 69, 22, 217, 215, 211, 243),
@@ -1281,6 +1376,30 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 111, 108, 108, 111, 119, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 48, 202, 106, 221, 113, 54, 246),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 115, 115, 101, 100, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 111, 125, 53, 246, 121, 170, 145),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1298,6 +1417,9 @@
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <crate::peer_capnp::claim::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <crate::peer_capnp::claim::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <crate::peer_capnp::follow::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => <crate::peer_capnp::passed::Owned as ::capnp::introspect::Introspect>::introspect(),
+                16 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1312,11 +1434,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,9,12,13,5,2,7,3,0,1,4,8,11,10];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,9,16,12,13,5,2,14,7,3,15,0,1,4,8,11,10];
         pub(crate) const TYPE_ID: u64 = 0xd858_c2f7_74e4_f07b;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13> {
         Ping(A0),
         Pong(A1),
         Fetch(u64),
@@ -1331,9 +1453,12 @@
         Took(u64),
         Close(A10),
         Closed(A11),
+        Follow(A12),
+        Passed(A13),
+        Changed(()),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::exchange::Reader<'a>>,::capnp::Result<crate::peer_capnp::exchange::Reader<'a>>,::capnp::Result<crate::peer_capnp::notes::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::peer_capnp::epoch::Reader<'a>>,::capnp::Result<crate::peer_capnp::ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::give::Reader<'a>>,::capnp::Result<crate::peer_capnp::suspicion::Reader<'a>>,::capnp::Result<crate::peer_capnp::cancel::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::vm::Owned>>,::capnp::Result<crate::peer_capnp::claim::Reader<'a>>,::capnp::Result<crate::peer_capnp::claim::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::exchange::Builder<'a>>,::capnp::Result<crate::peer_capnp::exchange::Builder<'a>>,::capnp::Result<crate::peer_capnp::notes::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::peer_capnp::epoch::Builder<'a>>,::capnp::Result<crate::peer_capnp::ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::give::Builder<'a>>,::capnp::Result<crate::peer_capnp::suspicion::Builder<'a>>,::capnp::Result<crate::peer_capnp::cancel::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::vm::Owned>>,::capnp::Result<crate::peer_capnp::claim::Builder<'a>>,::capnp::Result<crate::peer_capnp::claim::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::exchange::Reader<'a>>,::capnp::Result<crate::peer_capnp::exchange::Reader<'a>>,::capnp::Result<crate::peer_capnp::notes::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::peer_capnp::epoch::Reader<'a>>,::capnp::Result<crate::peer_capnp::ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::give::Reader<'a>>,::capnp::Result<crate::peer_capnp::suspicion::Reader<'a>>,::capnp::Result<crate::peer_capnp::cancel::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::vm::Owned>>,::capnp::Result<crate::peer_capnp::claim::Reader<'a>>,::capnp::Result<crate::peer_capnp::claim::Reader<'a>>,::capnp::Result<crate::peer_capnp::follow::Reader<'a>>,::capnp::Result<crate::peer_capnp::passed::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::exchange::Builder<'a>>,::capnp::Result<crate::peer_capnp::exchange::Builder<'a>>,::capnp::Result<crate::peer_capnp::notes::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::peer_capnp::epoch::Builder<'a>>,::capnp::Result<crate::peer_capnp::ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::give::Builder<'a>>,::capnp::Result<crate::peer_capnp::suspicion::Builder<'a>>,::capnp::Result<crate::peer_capnp::cancel::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::vm::Owned>>,::capnp::Result<crate::peer_capnp::claim::Builder<'a>>,::capnp::Result<crate::peer_capnp::claim::Builder<'a>>,::capnp::Result<crate::peer_capnp::follow::Builder<'a>>,::capnp::Result<crate::peer_capnp::passed::Builder<'a>>>;
 }
 
 pub mod exchange {
@@ -2025,6 +2150,532 @@
     }
 }
 
+pub mod follow {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_sent(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_known(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_known(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_sent(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_sent(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_run(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_known(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_known(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_known(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_known(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(229, 48, 202, 106, 221, 113, 54, 246),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(39, 74, 232, 197, 179, 240, 161, 214),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 70, 111, 108, 108, 111),
+            ::capnp::word(119, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xf636_71dd_6aca_30e5;
+    }
+}
+
+pub mod passed {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_sent(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_sent(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_sent(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_run(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_parts(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_parts(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(224, 111, 125, 53, 246, 121, 170, 145),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(39, 74, 232, 197, 179, 240, 161, 214),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 115, 115, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0x91aa_79f6_357d_6fe0;
+    }
+}
+
 pub mod claim {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/components/store/src/service.rs
+++ b/components/store/src/service.rs
@@ -26,6 +26,8 @@
 pub trait Watch: Send {
     /// Waits up to `wait` for changes after the last ones that were returned.
     fn next(&mut self, wait: time::Duration) -> Result<Changes, failure::Failure>;
+    /// Returns everything next, as after its start.
+    fn restart(&mut self);
 }
 
 /// What has changed.
