Move connections that are fewer than VMs to the requests

Where connections are fewer than VMs, the first holders are drawn by rendezvous hashing for each instance, a VM wants one only while a request or a poll waits, gives an idle one to whoever asks, and counts as ready without any.

--- a/components/kernel/src/budget/draw.rs
+++ b/components/kernel/src/budget/draw.rs
@@ -33,13 +33,10 @@
     if polled || epoch.members.len() <= SHARED_MEMBERS {
         return Vec::new();
     }
-    let members = epoch.members.iter();
-    let mut ranked: Vec<_> = members
-        .map(|member| (panel::weight(customer, &member.vm), &member.vm))
-        .collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let drawn = ranked.into_iter().take(HOLDERS);
-    drawn.map(|(_, vm)| vm.clone()).collect()
+    let members: Vec<_> = epoch.members.iter().map(|m| m.vm.clone()).collect();
+    let mut ranked = panel::rank(customer, &members);
+    ranked.truncate(HOLDERS);
+    ranked
 }
 
 /// Part of a VM among the holders; the first take the remainder.
--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -12,7 +12,7 @@
 use config::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{event, sharing, time};
+use crate::{event, panel, sharing, time};
 
 mod draw;
 mod part;
@@ -35,6 +35,9 @@
 const GIVE_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
 /// Time after which peers are worth asking again.
 const BARREN_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time between two rounds of asks for connections that are fewer than VMs:
+/// those that hold them change with every request.
+const SCARCE_ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(20);
 /// Peers asked in one round.
 const ASK_FANOUT: usize = 3;
 
@@ -319,20 +322,30 @@
     /// Whether this VM holds its part of the epoch, and a part of every rate;
     /// connections may be too few for a part on every VM.
     pub fn is_usable(&self) -> bool {
+        let members = self.epoch.members.len();
         let held = |(scarce, part): (&Scarce, &Part)| match scarce {
             Scarce::Rate(_) => part.units > 0 || !part.holders.is_empty(),
+            Scarce::Connections(_) if is_scarce(part.total, members) => true,
             Scarce::Connections(_) => part.units > 0 || part.equal == 0,
         };
         self.grown && self.parts.iter().all(held)
     }
 
+    /// Whether there are fewer connections of the instance than VMs.
+    pub fn is_scarce(&self, instance: &Name) -> bool {
+        let part = self.parts.get(&Scarce::Connections(instance.clone()));
+        let members = self.epoch.members.len();
+        part.is_some_and(|part| !self.polled && is_scarce(part.total, members))
+    }
+
     /// Tells how many connections are needed now. Demand follows at once
     /// upwards and slowly downwards, since moving a connection costs a new one.
     pub fn need(&mut self, instance: &Name, connections: u64, now: time::Time) {
         let Some(part) = self.parts.get_mut(&Scarce::Connections(instance.clone())) else {
             return;
         };
-        if connections >= part.demand {
+        let scarce = !self.polled && is_scarce(part.total, self.epoch.members.len());
+        if connections >= part.demand || scarce {
             part.demand = connections;
             part.measured = now;
         } else if now.since(part.measured) >= RELEASE_PERIOD {
@@ -366,7 +379,12 @@
                 part.barren = 0;
                 continue;
             }
-            if now.since(part.asked) < self.policy.pause(part.barren) {
+            let pause = if !self.polled && is_scarce(part.total, members) {
+                SCARCE_ASK_PERIOD
+            } else {
+                self.policy.pause(part.barren)
+            };
+            if now.since(part.asked) < pause {
                 continue;
             }
             let far = near.is_empty() || !self.policy.is_near(part.barren);
@@ -459,6 +477,11 @@
     }
 }
 
+/// Whether not every member can hold a unit.
+fn is_scarce(total: u64, members: usize) -> bool {
+    u64::try_from(members).is_ok_and(|members| total < members)
+}
+
 /// Part of a member in the equal split; the first members take the remainder.
 fn equal_share(
     epoch: &event::Epoch,
@@ -481,6 +504,13 @@
         // Every member polls over a connection of its own, and so does a VM
         // that is not yet a member.
         Scarce::Connections(_) if polled => total.saturating_sub(members + 1),
+        Scarce::Connections(instance) if is_scarce(total, epoch.members.len()) => {
+            let names: Vec<_> = epoch.members.iter().map(|m| m.vm.clone()).collect();
+            let holders = panel::rank(instance, &names);
+            let held = holders.iter().position(|vm| *vm == own.vm);
+            let held = held.and_then(|rank| u64::try_from(rank).ok());
+            return u64::from(held.is_some_and(|rank| rank < total));
+        }
         Scarce::Connections(_) => total,
     };
     total / members + u64::from(rank < total % members)
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -359,6 +359,7 @@
             budget::Scarce::Connections(instance) => {
                 if let Some(group) = self.group_of(instance) {
                     self.dispatch(&group);
+                    self.poll(&group);
                 }
             }
         }
--- a/components/kernel/src/panel.rs
+++ b/components/kernel/src/panel.rs
@@ -18,14 +18,19 @@
     if members.len() <= PANEL {
         return members.to_vec();
     }
-    let mut ranked: Vec<_> = members.iter().map(|vm| (weight(group, vm), vm)).collect();
+    let mut ranked = rank(group, members);
+    ranked.truncate(PANEL);
+    ranked
+}
+
+/// VMs by their rank for a name; the same on every VM of one release.
+pub fn rank(name: &Name, vms: &[Name]) -> Vec<Name> {
+    let mut ranked: Vec<_> = vms.iter().map(|vm| (weight(name, vm), vm)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let drawn = ranked.into_iter().take(PANEL);
-    drawn.map(|(_, vm)| vm.clone()).collect()
+    ranked.into_iter().map(|(_, vm)| vm.clone()).collect()
 }
 
-/// Rank of a VM for a name; the same on every VM of one release.
-pub fn weight(name: &Name, vm: &Name) -> u64 {
+fn weight(name: &Name, vm: &Name) -> u64 {
     let mut hasher = std::hash::DefaultHasher::new();
     name.hash(&mut hasher);
     vm.hash(&mut hasher);
--- a/components/kernel/src/sharing.rs
+++ b/components/kernel/src/sharing.rs
@@ -86,8 +86,12 @@
     }
 }
 
-/// Units held without any demand, so that a first request finds some.
+/// Units held without any demand, so that a first request finds some; none
+/// where there are fewer than VMs.
 fn floor(share: Share) -> u64 {
+    if share.equal == 0 {
+        return 0;
+    }
     (share.equal * KEEP_PARTS / 16).max(1)
 }
 
@@ -117,6 +121,9 @@
     }
 
     fn want(&self, share: Share) -> u64 {
+        if share.equal == 0 {
+            return share.demand.saturating_sub(share.held);
+        }
         if share.held >= (share.demand * ASK_PERCENT / 100).max(floor(share)) {
             return 0;
         }
@@ -125,7 +132,8 @@
     }
 
     fn spare(&self, share: Share, wanted: u64) -> u64 {
-        let keep = (share.demand * KEEP_PERCENT / 100).max(floor(share));
+        let percent = if share.equal == 0 { 100 } else { KEEP_PERCENT };
+        let keep = (share.demand * percent / 100).max(floor(share));
         share.held.saturating_sub(keep).min(wanted)
     }
 }
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -142,3 +142,16 @@
         assert!(!world.kernels[vm].is_fresh(), "VM {vm}");
     }
 }
+
+#[test]
+fn connections_that_are_fewer_than_vms_go_where_requests_are() {
+    let mut world = World::new(&Options {
+        vms: 24,
+        connections: 16,
+        ..Options::default()
+    });
+    world.run(ms(3000));
+    assert_eq!(play(&mut world, 20), (250, 0), "{:?}", world.log);
+    assert!(world.kernels.iter().all(kernel::Daemon::is_ready));
+    assert!(world.most_connected <= 16, "{}", world.most_connected);
+}
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -91,6 +91,10 @@
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
     changes: Vec<(u64, event::RowKey)>,
     version: u64,
+    /// Connections that VMs may hold, by VM and instance.
+    limits: collections::BTreeMap<(usize, usize), u32>,
+    /// Most connections that all VMs together might hold to an instance.
+    pub most_connected: u32,
     /// VMs that have read the store.
     pub readers: collections::BTreeSet<usize>,
     fed: Vec<u64>,
@@ -257,6 +261,8 @@
             rows: collections::BTreeMap::new(),
             changes: Vec::new(),
             version: 1,
+            limits: collections::BTreeMap::new(),
+            most_connected: 0,
             readers: collections::BTreeSet::new(),
             fed: vec![0; options.vms],
             proved: vec![time::Time::default(); options.vms],
@@ -458,6 +464,13 @@
             event::Action::Resume(instance) => {
                 self.post(WAY, Parcel::Resume(vm, index(&instance)));
             }
+            event::Action::Resize(instance, limit) => {
+                self.limits.insert((vm, index(&instance)), limit);
+                let of = |(_, i): &(usize, usize)| *i == index(&instance);
+                let held = self.limits.iter().filter(|(key, _)| of(key));
+                let sum = held.map(|(_, limit)| *limit).sum();
+                self.most_connected = self.most_connected.max(sum);
+            }
             event::Action::Send(to, message) => self.send(vm, &to, message),
             event::Action::Store(version, row) => {
                 let key = row.key();
