Refuse the waiting requests of a session that ends

The log of reads that are sent again, new with this, shows the floors 1:240 to 1:244 and then none at the withdrawal. What waits is now refused with the session's end, and a session that is not known gets no grant.

a_request_that_waits_ends_with_its_key failed before.

--- a/components/daemon/src/dialogue/mod.rs
+++ b/components/daemon/src/dialogue/mod.rs
@@ -293,6 +293,11 @@
                 Ok(held) => held,
                 Err(refusal) => break refusal,
             };
+            if retry {
+                let floor = held.floor.map(|floor| floor.to_string());
+                log::info!(target: "request", id = need.call.id, instance = &**held.instance,
+                    floor:?, primary = held.primary; "sent again");
+            }
             retry = true;
             let sent = self.shell.clock.now();
             match self.run(&mut held, &need.run, limit) {
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -1,11 +1,11 @@
 //! What follows from a new configuration.
 
-use std::time as std_time;
+use std::{collections, time as std_time};
 
 use config::{Fleet, Name};
 use errors::{Cause, Refusal};
 
-use crate::{budget, daemon, event, group, handover, journal, promotion};
+use crate::{admission, budget, daemon, event, group, handover, journal, promotion};
 
 /// Round-trip time within a failure domain.
 const NEAR_RTT: std_time::Duration = std_time::Duration::from_micros(200);
@@ -163,8 +163,28 @@
         }
         ended.sort_unstable_by_key(|(id, _)| *id);
         for (id, refusal) in ended {
+            // Before the session goes: what waits is told why it has not run.
+            self.refuse_waiting(id, refusal);
             self.sessions.open.remove(&id);
             self.out.push(event::Action::End(id, refusal));
         }
     }
+
+    /// Refuses the requests of a session that still wait.
+    fn refuse_waiting(&mut self, id: event::SessionId, refusal: Refusal) {
+        let mut own = |item: &admission::Waiting| item.request.session == id;
+        let mut waiting = Vec::new();
+        for pool in self.pools.values_mut() {
+            waiting.extend(pool.reads.drain(&mut own));
+            waiting.extend(pool.writes.drain(&mut own));
+        }
+        for lane in self.lanes.values_mut() {
+            let (gone, kept) = lane.drain(..).partition(own);
+            *lane = kept;
+            waiting.extend::<collections::VecDeque<_>>(gone);
+        }
+        for item in waiting {
+            self.refuse(&item.request, refusal);
+        }
+    }
 }
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -132,9 +132,9 @@
         };
         let view = &pool.group;
         let item = pool.reads.pop(&mut |item| {
+            // What a session must see is not known after its end.
             let Some(session) = sessions.open.get(&item.request.session) else {
-                choice = candidates.iter().position(|c| c.free > 0);
-                return choice.is_some();
+                return false;
             };
             if !is_payable(sessions, budgets, item, now, &mut short) {
                 return false;
--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -390,3 +390,26 @@
     world.run(ms(1000));
     assert!(world.asks <= 60, "{} asks in a second", world.asks);
 }
+
+#[test]
+fn a_request_that_waits_ends_with_its_key() {
+    let mut world = World::new(&Options {
+        connections: 0,
+        ..Options::default()
+    });
+    let session = world.session(0, "keyed");
+    world.request(0, session, false);
+    world.run(ms(100));
+    assert_eq!(world.refused, Vec::new(), "it waits for a connection");
+    world.withdrawn = true;
+    world.revision += 1;
+    world.tell_all();
+    world.run(ms(100));
+    assert_eq!(world.refused, vec![errors::Cause::KeyWithdrawn]);
+    // Connections that come now are for others.
+    world.connections = 16;
+    world.revision += 1;
+    world.tell_all();
+    world.run(ms(3000));
+    assert_eq!(world.grants, Vec::new());
+}
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -88,6 +88,8 @@
     pub limit: (u32, u32),
     /// Connections that an instance accepts.
     pub connections: u32,
+    /// The customer has no key any more.
+    pub withdrawn: bool,
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
     changes: Vec<(u64, event::RowKey)>,
     version: u64,
@@ -173,7 +175,8 @@
     }
 }
 
-fn document(revision: u64, limit: (u32, u32), connections: u32) -> view::Document {
+fn document(world: &World) -> view::Document {
+    let (revision, limit, connections) = (world.revision, world.limit, world.connections);
     let mut fleet = Fleet::default();
     let group = Group {
         durability: Durability::Primary,
@@ -201,7 +204,11 @@
         rate: limit.0,
         burst: limit.1,
         weight: 1,
-        keys: collections::BTreeMap::from([(name("first"), key)]),
+        keys: if world.withdrawn {
+            collections::BTreeMap::new()
+        } else {
+            collections::BTreeMap::from([(name("first"), key)])
+        },
     };
     fleet.customers.insert(name("tienda"), customer);
     view::Document {
@@ -258,6 +265,7 @@
             revision: 7,
             limit: options.limit,
             connections: options.connections,
+            withdrawn: false,
             rows: collections::BTreeMap::new(),
             changes: Vec::new(),
             version: 1,
@@ -363,11 +371,7 @@
             })
         };
         let instances = self.registrations();
-        let configuration = vec![view::Change::Configuration(sync::Arc::new(document(
-            self.revision,
-            self.limit,
-            self.connections,
-        )))];
+        let configuration = vec![view::Change::Configuration(sync::Arc::new(document(self)))];
         let updates = [
             update(view::Part::Configuration, configuration),
             update(view::Part::Instances, instances),
