--- a/components/daemon/src/monitor.rs
+++ b/components/daemon/src/monitor.rs
@@ -1,14 +1,17 @@
-//! One thread an instance for polls, fences and promotions.
+//! Polls, fences and promotions of an instance, one after the other.
 
-use std::{net, sync, sync::mpsc, thread, time};
+use std::{io, net, sync, sync::mpsc, thread, time};
 
 use config::Name;
 use kernel::{event, position};
 
-use crate::{links, shell};
+use crate::{links, locks, shell};
 
 /// Time for an answer.
 const TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Time without a call after which the thread ends: longer than the pauses of
+/// the polls of an instance in trouble.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Stack of a monitor's thread, in bytes.
 const STACK_SIZE: usize = 128 * 1024;
 /// Database that monitors log in to.
@@ -29,27 +32,62 @@
     Resume,
 }
 
-/// The calls of one instance, in order.
+/// The calls of one instance, in order. Its thread ends when there are none for
+/// a while, since most instances are called now and then only.
 pub struct Monitor {
     /// Where the instance listens.
     pub address: net::SocketAddr,
-    calls: mpsc::Sender<Call>,
+    shell: sync::Weak<shell::Shell>,
+    group: Name,
+    instance: Name,
+    calls: Calls,
 }
 
+/// Calls to the thread; none while there is no thread.
+type Calls = sync::Arc<sync::Mutex<Option<mpsc::Sender<Call>>>>;
+
 impl Monitor {
-    /// Starts the thread; it ends with the monitor.
-    pub fn start(
+    /// A monitor without a thread yet.
+    pub fn new(
         shell: &sync::Arc<shell::Shell>,
         group: Name,
         instance: Name,
         address: net::SocketAddr,
     ) -> Self {
-        let (calls, queue) = mpsc::channel();
-        let weak = sync::Arc::downgrade(shell);
+        Self {
+            address,
+            shell: sync::Arc::downgrade(shell),
+            group,
+            instance,
+            calls: Calls::default(),
+        }
+    }
+
+    /// Queues a call.
+    pub fn call(&self, call: Call) {
+        let mut calls = locks::lock(&self.calls);
+        let sent = calls.as_ref().is_some_and(|calls| calls.send(call).is_ok());
+        if sent {
+            return;
+        }
+        let (sender, queue) = mpsc::channel();
+        let _ = sender.send(call);
+        match self.start(queue) {
+            Ok(()) => *calls = Some(sender),
+            Err(error) => {
+                log::error!(instance = &**self.instance, error:%; "a monitor could not start");
+            }
+        }
+    }
+
+    fn start(&self, queue: mpsc::Receiver<Call>) -> io::Result<()> {
+        let (shell, calls) = (self.shell.clone(), self.calls.clone());
+        let (group, instance) = (self.group.clone(), self.instance.clone());
+        let address = self.address;
         let run = move || {
             let mut connection = None;
-            while let Ok(call) = queue.recv() {
-                let Some(shell) = weak.upgrade() else {
+            while let Some(call) = next(&queue, &calls) {
+                let Some(shell) = shell.upgrade() else {
                     return;
                 };
                 match shell.links() {
@@ -58,16 +96,31 @@
                 }
             }
         };
-        let spawned = thread::Builder::new().stack_size(STACK_SIZE).spawn(run);
-        if let Err(error) = spawned {
-            log::error!("a monitor could not start: {error}");
-        }
-        Self { address, calls }
+        let builder = thread::Builder::new().stack_size(STACK_SIZE);
+        builder.spawn(run).map(|_| ())
     }
+}
 
-    /// Queues a call.
-    pub fn call(&self, call: Call) {
-        let _ = self.calls.send(call);
+impl Drop for Monitor {
+    fn drop(&mut self) {
+        *locks::lock(&self.calls) = None;
+    }
+}
+
+/// The next call; none if the thread is to end.
+fn next(queue: &mpsc::Receiver<Call>, calls: &Calls) -> Option<Call> {
+    match queue.recv_timeout(IDLE_TIMEOUT) {
+        Ok(call) => Some(call),
+        Err(mpsc::RecvTimeoutError::Disconnected) => None,
+        Err(mpsc::RecvTimeoutError::Timeout) => {
+            let mut calls = locks::lock(calls);
+            // One may have come in between.
+            let call = queue.try_recv().ok();
+            if call.is_none() {
+                *calls = None;
+            }
+            call
+        }
     }
 }
 
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -226,7 +226,7 @@
         for (group, instance) in instances() {
             let name = instance.name.clone();
             monitors.entry(name.clone()).or_insert_with(|| {
-                monitor::Monitor::start(&shell, group.clone(), name, instance.address)
+                monitor::Monitor::new(&shell, group.clone(), name, instance.address)
             });
         }
         drop(monitors);
