--- a/components/daemon/src/admin.rs
+++ b/components/daemon/src/admin.rs
@@ -41,6 +41,7 @@
         (tiny_http::Method::Get, "/metrics") => (200, metrics(shell)),
         (tiny_http::Method::Get, "/status") => (200, status(shell)),
         (tiny_http::Method::Get, "/explain") => (200, explain(shell)),
+        (tiny_http::Method::Get, "/log") => (200, telemetry::recent()),
         (tiny_http::Method::Post, "/notes") => {
             let mut body = String::new();
             let mut reader = io::Read::take(request.as_reader(), NOTE_LIMIT);
--- a/components/daemon/src/dialogue/mod.rs
+++ b/components/daemon/src/dialogue/mod.rs
@@ -294,9 +294,9 @@
                 Err(refusal) => break refusal,
             };
             if retry {
-                let floor = held.floor.map(|floor| floor.to_string());
+                let floor = held.floor.map_or("-".into(), |floor| floor.to_string());
                 log::info!(target: "request", id = need.call.id, instance = &**held.instance,
-                    floor:?, primary = held.primary; "sent again");
+                    floor:%, primary = held.primary; "sent again");
             }
             retry = true;
             let sent = self.shell.clock.now();
--- a/components/telemetry/src/logger.rs
+++ b/components/telemetry/src/logger.rs
@@ -1,13 +1,14 @@
 //! A `simplelog` logger that writes one JSON object a line to standard output.
 //!
 //! Lines go through a bounded queue to a thread of their own, so that nobody
-//! who logs ever waits for the output. What does not fit is dropped, counted,
-//! and the count is logged.
+//! who logs ever waits for the output. What does not fit, or goes beyond the
+//! bound on lines about single requests, is dropped, counted, and the count is
+//! logged. The last lines are kept for whoever asks the process for them.
 
 use std::{
-    io,
+    collections, io,
     io::Write,
-    sync::{atomic, mpsc},
+    sync::{self, atomic, mpsc},
     thread, time,
 };
 
@@ -15,14 +16,53 @@
 use log::kv;
 use serde_json::Value;
 
+use crate::volume;
+
 /// Lines that may wait for the output.
 const QUEUE: usize = 4096;
+/// Lines kept for those who ask: some seconds of trouble, and 100 KB.
+const RECENT: usize = 400;
 /// Longest wait for the last lines at the end of the process.
 const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(200);
 
 /// Lines that were dropped since the last one that was written.
 static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
+/// The last lines, and what may still be written.
+static STATE: sync::Mutex<State> = sync::Mutex::new(State {
+    recent: collections::VecDeque::new(),
+    volume: None,
+});
+
+struct State {
+    recent: collections::VecDeque<String>,
+    volume: Option<volume::Volume>,
+}
+
+impl State {
+    /// Whether a line may be written.
+    fn admit(&mut self, target: &str, now: u64) -> bool {
+        let volume = self.volume.get_or_insert_default();
+        volume.admit(target, now)
+    }
+
+    fn keep(&mut self, line: &str) {
+        if self.recent.len() == RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(line.into());
+    }
+}
+
+fn state() -> sync::MutexGuard<'static, State> {
+    STATE.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// The last lines of this process, oldest first.
+pub fn recent() -> String {
+    state().recent.iter().map(String::as_str).collect()
+}
+
 /// The logger could not be set up.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Failure {
@@ -104,6 +144,10 @@
         let mut line = serde_json::Map::new();
         let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
         let ms = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+        if !state().admit(record.target(), ms) {
+            DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+            return;
+        }
         line.insert("time_ms".into(), ms.into());
         line.insert(
             "level".into(),
@@ -118,6 +162,7 @@
         }
         let mut text = Value::Object(line).to_string();
         text.push('\n');
+        state().keep(&text);
         if self.queue.try_send(Item::Line(text)).is_err() {
             DROPPED.fetch_add(dropped + 1, atomic::Ordering::Relaxed);
         }
--- /dev/null
+++ b/components/telemetry/tests/trace.rs
@@ -0,0 +1,43 @@
+//! From the id of a request to the decisions that led to its outcome.
+
+fn log(name: &str, lines: &[&str]) -> (String, String) {
+    (name.into(), lines.join("\n"))
+}
+
+#[test]
+fn decisions_that_bear_on_a_request_stand_around_it() {
+    let logs = [
+        log(
+            "vm-1.log",
+            &[
+                r#"{"time_ms":1000,"target":"decision","message":"too early","entry":{"kind":"freshness"}}"#,
+                r#"  3.2 vm-1 {"time_ms":9000,"target":"decision","message":"keyed requests refused","entry":{"kind":"freshness"}}"#,
+                r#"{"time_ms":9100,"target":"request","message":"no connection","instance":"db-1"}"#,
+                r#"{"time_ms":9200,"target":"request","message":"refused","id":"ab","cause":"Stale","customer":"tienda","retry_ms":500}"#,
+                r#"{"time_ms":9250,"target":"request","message":"refused","id":"cd","cause":"OverRate","customer":"other"}"#,
+                r#"{"time_ms":9300,"target":"decision","message":"3 requests of tienda refused","entry":{"kind":"refusals","customer":"tienda"}}"#,
+                r#"{"time_ms":9300,"target":"decision","message":"3 requests of other refused","entry":{"kind":"refusals","customer":"other"}}"#,
+                "not a line of ours",
+            ],
+        ),
+        log(
+            "vm-2.log",
+            &[
+                r#"{"time_ms":9050,"target":"decision","message":"claimed","entry":{"kind":"handover"}}"#,
+                r#"{"time_ms":9060,"target":"decision","message":"keyed requests refused there","entry":{"kind":"freshness"}}"#,
+            ],
+        ),
+    ];
+    let lines = telemetry::trace(&logs, "ab");
+    let texts: Vec<_> = lines.iter().map(|line| line.text.as_str()).collect();
+    assert_eq!(
+        texts,
+        [
+            "keyed requests refused",
+            "claimed",
+            "refused id=ab customer=tienda cause=Stale retry_ms=500",
+            "3 requests of tienda refused",
+        ]
+    );
+    assert_eq!(telemetry::trace(&logs, "ef"), Vec::new());
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -46,6 +46,20 @@
     Command::new("explain")
         .about("Show the decisions of daemons with their causes, oldest first")
         .arg(admin().action(ArgAction::Append))
+        .arg(
+            Arg::new("request")
+                .long("request")
+                .value_name("ID")
+                .help("Show only what led to the outcome of one request"),
+        )
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .requires("request")
+                .help("Log of a daemon, in place of a running one"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,12 +1,17 @@
 //! `ebonygauge explain`.
 
-use crate::{cmd, cmd::http};
+use error_stack::Report;
 
-/// Prints the decisions of one or more daemons.
+use crate::{cmd, cmd::http, failure};
+
+/// Prints the decisions of one or more daemons, or those that led to the
+/// outcome of one request.
 pub fn run(matches: &clap::ArgMatches) -> cmd::Outcome {
+    if matches.contains_id("request") {
+        return request(matches);
+    }
     let json = matches.get_flag("json");
-    let admins = matches.get_many::<String>("admin").unwrap_or_default();
-    for admin in admins {
+    for admin in values(matches, "admin") {
         let answer = http::get(admin, "/explain")?;
         if json {
             print!("{}", answer.body);
@@ -26,3 +31,40 @@
     }
     Ok(())
 }
+
+fn request(matches: &clap::ArgMatches) -> cmd::Outcome {
+    let id = cmd::text(matches, "request");
+    let mut logs = Vec::new();
+    for file in values(matches, "log") {
+        let (text, _) = cmd::read(file)?;
+        logs.push((file.clone(), text));
+    }
+    if logs.is_empty() {
+        for admin in values(matches, "admin") {
+            let answer = http::get(admin, "/log")?;
+            logs.push((admin.clone(), answer.body));
+        }
+    }
+    let lines = telemetry::trace(&logs, id);
+    if lines.is_empty() {
+        let unknown = failure::Failure::RequestUnknown(id.into());
+        return Err(Report::new(unknown));
+    }
+    if matches.get_flag("json") {
+        for line in lines {
+            let line = serde_json::json!({
+                "time_ms": line.time, "source": line.source, "text": line.text});
+            println!("{line}");
+        }
+        return Ok(());
+    }
+    for line in lines {
+        let (seconds, ms) = (line.time / 1000, line.time % 1000);
+        println!("{seconds}.{ms:03}  {}  {}", line.source, line.text);
+    }
+    Ok(())
+}
+
+fn values<'a>(matches: &'a clap::ArgMatches, name: &str) -> impl Iterator<Item = &'a String> {
+    matches.get_many::<String>(name).unwrap_or_default()
+}
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -23,6 +23,12 @@
     /// No answer over HTTP.
     #[display("{_0} does not answer; check the address and that the daemon runs")]
     Unreachable(#[error(not(source))] String),
+    /// No log has a line of the request.
+    #[display(
+        "no line tells of request {_0}: it was served, or is older than the log; \
+         give the logs of all VMs"
+    )]
+    RequestUnknown(#[error(not(source))] String),
     /// A daemon could not start.
     #[display("{_0}")]
     Daemon(daemon::Failure),
