--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -53,6 +53,49 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+#[test]
+fn every_replacement_has_a_token_of_its_own() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[0].alive = false;
+    write_for(&mut world, 3000);
+    let first = world.leader().expect("a leader");
+    // The VM that ordered dies, so another one orders next.
+    let holder = world.last_holder().expect("an order");
+    world.dead.insert(holder);
+    world.instances[0].alive = true;
+    world.instances[0].role = kernel::position::Role::Replica;
+    world.run(ms(500));
+    world.restart(holder);
+    world.frozen.insert(holder);
+    world.instances[first].alive = false;
+    write_for(&mut world, 12_000);
+    assert_eq!(world.orders.len(), 2, "{:?}", world.log);
+    assert_ne!(world.last_holder(), Some(holder));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_planned_replacement_waits_for_a_replica() {
+    let mut world = World::new(&Options::default());
+    for replica in [1, 2] {
+        world.instances[replica].deaf = true;
+    }
+    write_for(&mut world, 500);
+    world.instances[0].leaving = true;
+    write_for(&mut world, 600);
+    assert_eq!(world.orders, Vec::new(), "no replica has the last commits");
+    for replica in [1, 2] {
+        world.instances[replica].deaf = false;
+    }
+    write_for(&mut world, 3000);
+    let leader = world.leader().expect("a leader");
+    assert_ne!(leader, 0, "{:?}", world.log);
+    let acknowledged = u64::try_from(world.acknowledged.len()).expect("a count");
+    assert!(world.instances[leader].received >= 10 + acknowledged);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_leader_without_room_for_connections_is_not_lost() {
     let mut world = World::new(&Options::default());
@@ -95,8 +138,9 @@
 }
 
 /// A VM without peers and store still reaches the old leader.
-fn silent_vm(first_lease_ms: Option<u64>) -> World {
+fn silent_vm(lease_ms: u64, first_lease_ms: Option<u64>) -> World {
     let mut world = World::new(&Options {
+        lease_ms,
         first_lease_ms,
         ..Options::default()
     });
@@ -113,13 +157,16 @@
 
 #[test]
 fn a_silent_vm_is_waited_out() {
-    let world = silent_vm(None);
-    assert_eq!(world.violations, Vec::<String>::new());
+    // Also where its lease outlasts suspicion, hold and promotion together.
+    for lease_ms in [1000, 3000] {
+        let world = silent_vm(lease_ms, None);
+        assert_eq!(world.violations, Vec::<String>::new(), "{lease_ms}");
+    }
 }
 
 #[test]
 fn a_silent_vm_with_an_endless_lease_breaks_the_promise() {
-    let world = silent_vm(Some(100_000));
+    let world = silent_vm(1000, Some(100_000));
     assert!(!world.violations.is_empty(), "the check must see it");
 }
 
@@ -247,6 +294,44 @@
     assert!(world.grants.iter().any(|(i, _)| *i == 1), "used again");
 }
 
+#[test]
+fn a_replica_that_stands_still_shows_nothing_too_old() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    world.instances[1].deaf = true;
+    let reader = world.session(2, "aged");
+    let writer = world.session(0, "latest");
+    for _ in 0..100 {
+        world.request(0, writer, true);
+        for _ in 0..4 {
+            world.request(2, reader, false);
+        }
+        world.run(ms(50));
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.refused, Vec::new());
+}
+
+#[test]
+fn a_vm_that_is_not_in_its_own_view_uses_no_leader() {
+    let mut world = World::new(&Options::default());
+    write_for(&mut world, 500);
+    // It goes on reading the store, but cannot register again.
+    world.mute_store.insert(2);
+    world.erase(2);
+    world.run(ms(50));
+    world.grants.clear();
+    let session = world.session(2, "latest");
+    world.request(2, session, true);
+    world.run(ms(1000));
+    assert_eq!(world.grants, Vec::new());
+    world.mute_store.remove(&2);
+    world.run(ms(3000));
+    world.request(2, session, true);
+    world.run(ms(100));
+    assert!(!world.grants.is_empty(), "{:?}", world.log);
+}
+
 #[test]
 fn an_instance_that_started_again_is_used_at_once() {
     let mut world = World::new(&Options::default());
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -8,6 +8,8 @@
 use errors::Cause;
 use kernel::{Daemon, Setup, event, leader, message, position, time, view};
 
+/// Age of data that reads may show.
+const AGE: std_time::Duration = std_time::Duration::from_millis(1_500);
 /// Key of the customer.
 const KEY: &str = "the-key";
 /// Step of the clock.
@@ -72,10 +74,16 @@
     pub instances: Vec<Fake>,
     /// Orders as they reached the platform: token and instance.
     pub orders: Vec<(u64, usize)>,
+    /// VMs that ordered, with their tokens.
+    holders: Vec<(usize, u64)>,
     pub lose_orders: usize,
     pub violations: Vec<String>,
     pub log: Vec<(time::Time, usize, String)>,
     pub acknowledged: Vec<time::Time>,
+    /// Acknowledged commits: when, and their positions.
+    commits: Vec<(time::Time, u64)>,
+    /// VMs whose writes to the store are not answered.
+    pub mute_store: collections::BTreeSet<usize>,
     pub unknown: usize,
     pub refused: Vec<Cause>,
     pub grants: Vec<(usize, bool)>,
@@ -253,10 +261,13 @@
             cut_instances: collections::BTreeSet::new(),
             instances: (0..3).map(fake).collect(),
             orders: Vec::new(),
+            holders: Vec::new(),
             lose_orders: 0,
             violations: Vec::new(),
             log: Vec::new(),
             acknowledged: Vec::new(),
+            commits: Vec::new(),
+            mute_store: collections::BTreeSet::new(),
             unknown: 0,
             refused: Vec::new(),
             grants: Vec::new(),
@@ -612,7 +623,7 @@
 
     fn store(&mut self, vm: usize, version: u64, row: Option<event::Row>, key: event::RowKey) {
         let current = self.rows.get(&key).map_or(0, |(version, _)| *version);
-        let stored = if self.cut_store.contains(&vm) {
+        let stored = if self.cut_store.contains(&vm) || self.mute_store.contains(&vm) {
             event::Stored::Unknown
         } else if current != version {
             event::Stored::Conflict
@@ -634,6 +645,12 @@
         if highest.is_some_and(|highest| order.token < highest) {
             self.violations.push("an order carried an old token".into());
         }
+        let shared = |(other, token): &(usize, u64)| *other != vm && *token == order.token;
+        if self.holders.iter().any(shared) {
+            self.violations
+                .push("two VMs ordered with the same token".into());
+        }
+        self.holders.push((vm, order.token));
         self.orders.push((order.token, instance));
         let ordered = if self.instances[instance].alive {
             // Nothing changes for the present primary.
@@ -715,8 +732,15 @@
             self.drive(vm, event::Event::Released(id, event::Outcome::ReadOnly));
             return self.ask(vm, id, true);
         }
+        if let Some(floor) = grant.floor.filter(|f| f.lsn.0 > status.replayed.0) {
+            let behind = event::Outcome::Behind(floor);
+            self.drive(vm, event::Event::Released(id, behind));
+            return self.ask(vm, id, true);
+        }
         if write {
             self.instances[instance].received += 1;
+        } else {
+            self.check_age(status.replayed.0);
         }
         let status = self.status(instance);
         let sent = self.now;
@@ -738,17 +762,44 @@
         self.drive(vm, event::Event::Released(id, outcome));
         let newest = self.instances.iter().map(|fake| fake.term).max();
         let replaced = newest.is_some_and(|newest| status.term.0 < newest);
+        if write && self.acknowledged.len() > acknowledged {
+            self.commits.push((self.now, status.received.0));
+        }
         if write && replaced && self.acknowledged.len() > acknowledged {
             let text = "a replaced leader's commit was acknowledged";
             self.violations.push(text.into());
         }
     }
 
+    /// A read shows everything that was acknowledged longer ago than its route
+    /// allows.
+    fn check_age(&mut self, shown: u64) {
+        let old = |(at, _): &&(time::Time, u64)| self.now.since(*at) > AGE;
+        let needed = self.commits.iter().filter(old).map(|(_, lsn)| *lsn).max();
+        if needed.is_some_and(|needed| shown < needed) {
+            self.violations
+                .push("a read lacked a commit of long ago".into());
+        }
+    }
+
+    /// Removes the row of a VM, as another VM would.
+    pub fn erase(&mut self, vm: usize) {
+        let key = event::RowKey::Member(self.setups[vm].vm.clone());
+        self.version += 1;
+        self.rows.remove(&key);
+        self.changes.push((self.version, key));
+    }
+
     /// Whether any VM has recorded a decision with this text.
     pub fn recorded(&self, text: &str) -> bool {
         self.log.iter().any(|(_, _, line)| line.contains(text))
     }
 
+    /// VM that sent the last order.
+    pub fn last_holder(&self) -> Option<usize> {
+        self.holders.last().map(|(vm, _)| *vm)
+    }
+
     /// Instance that leads.
     pub fn leader(&self) -> Option<usize> {
         let leading = self.instances.iter().enumerate();
