Keep silent members in new epochs; set readers apart from relays

Until all 73 members have confirmed, most VMs have no connection. The first VM by name of a failure domain was relay, region's relay and reader of the store at once, and its domain's VMs were the last to take their shares up.

Change, where the store arbitrates: a member that is silent but still listed stays in the next epoch; it had to confirm before. Lost confirmations lead to an epoch after 15 s in place of 3 in fleets beyond 16. The reader is the last VM by name of its failure domain, the relays stay the first two.

Tests failed before: silent_members_keep_their_part_while_they_are_listed, lost_confirmations_do_not_stop_a_large_fleet (248 of 250, epochs 2 and 3).

--- a/components/kernel/src/epochs.rs
+++ b/components/kernel/src/epochs.rs
@@ -13,6 +13,9 @@
 const DIRECT_MEMBERS: usize = 16;
 /// Shortest time between two epochs that only return lost shares.
 const LEAK_PAUSE: std_time::Duration = std_time::Duration::from_secs(3);
+/// The same in a large fleet, where all shares stand still for about two seconds
+/// until every member has confirmed, and a lost one is a small part.
+const LARGE_LEAK_PAUSE: std_time::Duration = std_time::Duration::from_secs(15);
 /// Time that a VM lets each VM before it propose the next epoch.
 const EPOCH_STAGGER: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -128,7 +131,12 @@
             .members
             .iter()
             .any(|member| self.members.is_gone(member, self.now));
-        let calm = self.now.since(self.control.adopted) >= LEAK_PAUSE;
+        let pause = if epoch.members.len() > DIRECT_MEMBERS {
+            LARGE_LEAK_PAUSE
+        } else {
+            LEAK_PAUSE
+        };
+        let calm = self.now.since(self.control.adopted) >= pause;
         joined || left || (calm && self.budgets.has_leaked(self.now))
     }
 
@@ -143,9 +151,20 @@
             .collect();
         former.sort();
         former.dedup();
+        let (mut members, mut former) = (live, former);
+        if self.arbiter == group::Arbiter::Store {
+            // A member that is silent but listed may be heard again soon, and has
+            // to confirm in any case: it keeps its part.
+            let (kept, left): (Vec<_>, Vec<_>) = former
+                .into_iter()
+                .partition(|member| epoch.members.contains(member));
+            members.extend(kept);
+            members.sort();
+            former = left;
+        }
         event::Epoch {
             number: epoch.number + 1,
-            members: live,
+            members,
             former,
         }
     }
--- a/components/kernel/src/exchange.rs
+++ b/components/kernel/src/exchange.rs
@@ -35,8 +35,8 @@
         self.arbiter == group::Arbiter::Store && others >= MESH_LIMIT
     }
 
-    /// VM of the own failure domain that reads the store for the others; none
-    /// if every VM reads it.
+    /// VM of the own failure domain that reads the store for the others, the last
+    /// by name since the first ones are relays; none if every VM reads it.
     pub fn reader(&self, now: time::Time) -> Option<Name> {
         if !self.is_layered() {
             return None;
@@ -46,13 +46,9 @@
             let own = listed.is_some_and(|vm| vm.domain == self.domain && !vm.leaving);
             own && self.may_relay(peer, now)
         });
-        let first = near.map(|(name, _)| name).min();
-        Some(
-            first
-                .filter(|name| **name < self.vm)
-                .unwrap_or(&self.vm)
-                .clone(),
-        )
+        let last = near.map(|(name, _)| name).max();
+        let reader = last.filter(|name| **name > self.vm);
+        Some(reader.unwrap_or(&self.vm).clone())
     }
 
     /// The relays of the own failure domain; as one of them, those of the
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -5,6 +5,9 @@
 
 use ruled::{Options, World, ms};
 
+/// VM that reads the store for `domain-0`: the last of its names.
+const READER: usize = 9;
+
 /// 24 VMs of one region in three failure domains.
 fn large() -> World {
     World::new(&Options {
@@ -119,17 +122,17 @@
 #[test]
 fn followers_read_themselves_when_their_reader_dies() {
     let mut world = large();
-    world.dead.insert(0);
+    world.dead.insert(READER);
     let stale = stale(&mut world);
-    assert!(!stale.iter().any(|vm| *vm != 0), "{stale:?}");
+    assert!(!stale.iter().any(|vm| *vm != READER), "{stale:?}");
 }
 
 #[test]
 fn followers_of_a_reader_without_the_store_read_themselves() {
     let mut world = large();
-    world.cut_store.insert(0);
+    world.cut_store.insert(READER);
     let stale = stale(&mut world);
-    assert!(!stale.iter().any(|vm| *vm != 0), "{stale:?}");
+    assert!(!stale.iter().any(|vm| *vm != READER), "{stale:?}");
 }
 
 #[test]
@@ -155,3 +158,31 @@
     assert!(world.kernels.iter().all(kernel::Daemon::is_ready));
     assert!(world.most_connected <= 16, "{}", world.most_connected);
 }
+
+#[test]
+fn silent_members_keep_their_part_while_they_are_listed() {
+    let mut world = large();
+    // Nobody hears of eight VMs; they are not removed yet.
+    world.cut_peers.extend(16..24);
+    world.mute_store.extend(16..24);
+    world.run(ms(4800));
+    // A new run has to join.
+    world.restart(3);
+    world.run(ms(800));
+    assert!(!world.recorded("removed from the store"));
+    assert!(!world.recorded("with 16 members"), "{:?}", world.log);
+}
+
+#[test]
+fn lost_confirmations_do_not_stop_a_large_fleet() {
+    let mut world = World::new(&Options {
+        vms: 24,
+        connections: 16,
+        ..Options::default()
+    });
+    world.run(ms(3000));
+    world.lose_took = true;
+    world.log.clear();
+    assert_eq!(play(&mut world, 20), (250, 0), "{:?}", world.log);
+    assert!(!world.recorded("budget epoch"), "{:?}", world.log);
+}
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -87,6 +87,8 @@
     pub unknown: usize,
     pub refused: Vec<Cause>,
     pub grants: Vec<(usize, bool)>,
+    /// Confirmations of shares are lost.
+    pub lose_took: bool,
     pub asks: usize,
     /// Pings and their answers.
     pub exchanged: usize,
@@ -271,6 +273,7 @@
             unknown: 0,
             refused: Vec::new(),
             grants: Vec::new(),
+            lose_took: false,
             asks: 0,
             exchanged: 0,
             revision: 7,
@@ -523,6 +526,7 @@
 
     fn send(&mut self, from: usize, to: &Name, message: message::Message) {
         match message {
+            message::Message::Took(_) if self.lose_took => return,
             message::Message::Ask(_) => self.asks += 1,
             message::Message::Ping(..) | message::Message::Pong(..) => self.exchanged += 1,
             _ => {}
