--- a/tests/common/raw.rs
+++ b/tests/common/raw.rs
@@ -60,6 +60,17 @@
         self.put(body);
     }
 
+    /// Sends any bytes, and takes in what comes until the end or the limit.
+    pub fn any(mut self, bytes: &[u8], limit: time::Duration) {
+        self.socket
+            .set_read_timeout(Some(limit))
+            .expect("a time limit");
+        // The daemon may have ended the session before all of it is sent.
+        let _ = self.socket.write_all(bytes);
+        let _ = self.socket.shutdown(net::Shutdown::Write);
+        let _ = self.socket.read_to_end(&mut Vec::new());
+    }
+
     fn message(&mut self) -> (u8, Vec<u8>) {
         let mut header = [0; 5];
         self.socket.read_exact(&mut header).expect("an answer");
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -269,6 +269,50 @@
     }
 }
 
+/// Messages of the protocol, some of them cut, changed or made up.
+fn stream(g: &mut quickcheck::Gen) -> Vec<u8> {
+    use quickcheck::Arbitrary;
+    let bodies: [&[u8]; 8] = [
+        b"SELECT 1\0",
+        b"\0SELECT 1\0\0\0",
+        b"\0\0\0\0\0\0\0\0",
+        b"S\0",
+        b"P\0",
+        b"\0\0\0\0\0",
+        b"",
+        b"DEALLOCATE \"\0",
+    ];
+    let mut bytes = Vec::new();
+    for _ in 0..u8::arbitrary(g) % 12 {
+        let body = match u8::arbitrary(g) % 4 {
+            0 => Vec::<u8>::arbitrary(g),
+            _ => g.choose(&bodies).expect("a body").to_vec(),
+        };
+        let tag = g.choose(b"QPBDECSHXFdcfp\0").copied();
+        bytes.push(tag.unwrap_or_default());
+        let length = match u8::arbitrary(g) % 8 {
+            0 => u32::arbitrary(g),
+            _ => u32::try_from(body.len() + 4).expect("a short body"),
+        };
+        bytes.extend_from_slice(&length.to_be_bytes());
+        bytes.extend_from_slice(&body);
+    }
+    bytes
+}
+
+#[test]
+fn any_messages_end_their_own_session_alone() {
+    let lab = lab::Lab::start(lab::Plan::small().unhurried()).expect("the lab starts");
+    let mut other = common::connect(&lab, 0);
+    // A fixed seed: every run is the same.
+    let mut g = quickcheck::Gen::from_size_and_seed(40, 12);
+    for _ in 0..150 {
+        let raw = common::raw::Raw::connect(&lab, 0);
+        raw.any(&stream(&mut g), time::Duration::from_millis(60));
+        other.batch_execute("SELECT 1").expect("others go on");
+    }
+}
+
 #[test]
 fn statements_prepared_by_the_protocol_are_dropped_in_sql() {
     let lab = lab::Lab::start(lab::Plan::small().unhurried()).expect("the lab starts");
