--- a/components/kernel/tests/common/mod.rs
+++ b/components/kernel/tests/common/mod.rs
@@ -6,6 +6,9 @@
 
 #![allow(dead_code)]
 
+#[path = "../agenda/mod.rs"]
+mod agenda;
+
 use std::{collections, sync, time as std_time};
 
 use config::Name;
@@ -83,8 +86,7 @@
     pub admitted: Vec<time::Time>,
     pub verdicts: Vec<String>,
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
-    queue: collections::BTreeMap<(time::Time, u64), Parcel>,
-    sequence: u64,
+    agenda: agenda::Agenda<Parcel>,
     work: collections::BTreeMap<event::RequestId, Work>,
     acked: Vec<position::Floor>,
     newest_primary: (position::Term, usize),
@@ -239,8 +241,7 @@
             admitted: Vec::new(),
             verdicts: Vec::new(),
             rows: collections::BTreeMap::new(),
-            queue: collections::BTreeMap::new(),
-            sequence: 0,
+            agenda: agenda::Agenda::default(),
             work: collections::BTreeMap::new(),
             acked: Vec::new(),
             newest_primary: (position::Term(1), 0),
@@ -259,8 +260,7 @@
     }
 
     fn post(&mut self, delay: std_time::Duration, parcel: Parcel) {
-        self.sequence += 1;
-        self.queue.insert((self.now + delay, self.sequence), parcel);
+        self.agenda.post(self.now, delay, parcel);
     }
 
     /// Lets time pass.
@@ -269,11 +269,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.replicate();
-            while let Some(entry) = self.queue.first_entry() {
-                if entry.key().0 > self.now {
-                    break;
-                }
-                let parcel = entry.remove();
+            while let Some(parcel) = self.agenda.arrived(self.now) {
                 self.open(parcel);
             }
             if self.now.0.is_multiple_of(500_000) {
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -16,6 +16,32 @@
     })
 }
 
+/// The same with a customer of 40 requests a second and a burst of 20, and
+/// connections for all.
+fn limited() -> World {
+    settled(&Options {
+        vms: 24,
+        limit: (40, 20),
+        connections: 100,
+        ..Options::default()
+    })
+}
+
+/// The same with fewer connections of an instance than VMs.
+fn scarce() -> World {
+    settled(&Options {
+        vms: 24,
+        connections: 16,
+        ..Options::default()
+    })
+}
+
+fn settled(options: &Options) -> World {
+    let mut world = World::new(options);
+    world.run(ms(3000));
+    world
+}
+
 #[test]
 fn a_large_region_exchanges_over_relays() {
     let mut world = large();
@@ -69,25 +95,13 @@
 
 #[test]
 fn a_customer_within_its_rate_is_served_by_any_vm() {
-    let mut world = World::new(&Options {
-        vms: 24,
-        limit: (40, 20),
-        connections: 100,
-        ..Options::default()
-    });
-    world.run(ms(3000));
+    let mut world = limited();
     assert_eq!(play(&mut world, 50), (100, 0), "{:?}", world.log);
 }
 
 #[test]
 fn a_customer_at_seven_times_its_rate_gets_its_rate() {
-    let mut world = World::new(&Options {
-        vms: 24,
-        limit: (40, 20),
-        connections: 100,
-        ..Options::default()
-    });
-    world.run(ms(3000));
+    let mut world = limited();
     let (granted, refused) = play(&mut world, 5);
     // 5.5 s of its rate and its burst; and a fifth less for tokens that lie
     // with a holder while another is asked.
@@ -109,30 +123,28 @@
     }
 }
 
-/// Runs for 10 s, and notes VMs whose keyed requests are refused.
-fn stale(world: &mut World) -> std::collections::BTreeSet<usize> {
+/// Runs for 10 s, in which no VM but the reader refuses keyed requests.
+fn assert_only_reader_stale(world: &mut World) {
     let mut stale = std::collections::BTreeSet::new();
     for _ in 0..200 {
         world.run(ms(50));
         stale.extend((0..24).filter(|vm| !world.kernels[*vm].is_fresh()));
     }
-    stale
+    assert!(!stale.iter().any(|vm| *vm != READER), "{stale:?}");
 }
 
 #[test]
 fn followers_read_themselves_when_their_reader_dies() {
     let mut world = large();
     world.dead.insert(READER);
-    let stale = stale(&mut world);
-    assert!(!stale.iter().any(|vm| *vm != READER), "{stale:?}");
+    assert_only_reader_stale(&mut world);
 }
 
 #[test]
 fn followers_of_a_reader_without_the_store_read_themselves() {
     let mut world = large();
     world.cut_store.insert(READER);
-    let stale = stale(&mut world);
-    assert!(!stale.iter().any(|vm| *vm != READER), "{stale:?}");
+    assert_only_reader_stale(&mut world);
 }
 
 #[test]
@@ -148,12 +160,7 @@
 
 #[test]
 fn connections_that_are_fewer_than_vms_go_where_requests_are() {
-    let mut world = World::new(&Options {
-        vms: 24,
-        connections: 16,
-        ..Options::default()
-    });
-    world.run(ms(3000));
+    let mut world = scarce();
     assert_eq!(play(&mut world, 20), (250, 0), "{:?}", world.log);
     assert!(world.kernels.iter().all(kernel::Daemon::is_ready));
     assert!(world.most_connected <= 16, "{}", world.most_connected);
@@ -175,12 +182,7 @@
 
 #[test]
 fn lost_confirmations_do_not_stop_a_large_fleet() {
-    let mut world = World::new(&Options {
-        vms: 24,
-        connections: 16,
-        ..Options::default()
-    });
-    world.run(ms(3000));
+    let mut world = scarce();
     world.lose_took = true;
     world.log.clear();
     assert_eq!(play(&mut world, 20), (250, 0), "{:?}", world.log);
--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -17,6 +17,16 @@
     }
 }
 
+/// Sends a read of each session through the first VM, every 10 ms.
+fn read_rounds(world: &mut World, sessions: &[kernel::event::SessionId], rounds: usize) {
+    for _ in 0..rounds {
+        for session in sessions {
+            world.request(0, *session, false);
+        }
+        world.run(ms(10));
+    }
+}
+
 #[test]
 fn a_lost_leader_is_replaced_once() {
     let mut world = World::new(&Options::default());
@@ -248,12 +258,7 @@
     world.instances[1].alive = false;
     world.grants.clear();
     let sessions: Vec<_> = (0..8).map(|_| world.session(0, "aged")).collect();
-    for _ in 0..200 {
-        for session in &sessions {
-            world.request(0, *session, false);
-        }
-        world.run(ms(10));
-    }
+    read_rounds(&mut world, &sessions, 200);
     let dead = world
         .grants
         .iter()
@@ -274,23 +279,13 @@
     world.instances[1].silent = true;
     let sessions: Vec<_> = (0..8).map(|_| world.session(0, "aged")).collect();
     world.grants.clear();
-    for _ in 0..400 {
-        for session in &sessions {
-            world.request(0, *session, false);
-        }
-        world.run(ms(10));
-    }
+    read_rounds(&mut world, &sessions, 400);
     let silent = world.grants.iter().filter(|(i, _)| *i == 1).count();
     // Those sent before the first connection was given up, 16 at most at once.
     assert!(silent <= 16, "{silent} of {}", world.grants.len());
     world.instances[1].silent = false;
     world.grants.clear();
-    for _ in 0..100 {
-        for session in &sessions {
-            world.request(0, *session, false);
-        }
-        world.run(ms(10));
-    }
+    read_rounds(&mut world, &sessions, 100);
     assert!(world.grants.iter().any(|(i, _)| *i == 1), "used again");
 }
 
@@ -338,12 +333,7 @@
     write_for(&mut world, 500);
     world.instances[1].alive = false;
     let sessions: Vec<_> = (0..8).map(|_| world.session(0, "aged")).collect();
-    for _ in 0..300 {
-        for session in &sessions {
-            world.request(0, *session, false);
-        }
-        world.run(ms(10));
-    }
+    read_rounds(&mut world, &sessions, 300);
     world.instances[1].alive = true;
     world.instances[1].born = 2;
     world.tell_all();
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -2,6 +2,8 @@
 //! feeds, instances that are promoted by order, and a network, all driven by
 //! one clock.
 
+#[path = "../agenda/mod.rs"]
+mod agenda;
 mod callers;
 mod network;
 
@@ -114,8 +116,7 @@
     pub readers: collections::BTreeSet<usize>,
     fed: Vec<u64>,
     proved: Vec<time::Time>,
-    queue: collections::BTreeMap<(time::Time, u64), Parcel>,
-    sequence: u64,
+    agenda: agenda::Agenda<Parcel>,
     setups: Vec<Setup>,
     requests: collections::BTreeMap<event::RequestId, (usize, bool)>,
     next: u64,
@@ -291,8 +292,7 @@
             readers: collections::BTreeSet::new(),
             fed: vec![0; options.vms],
             proved: vec![time::Time::default(); options.vms],
-            queue: collections::BTreeMap::new(),
-            sequence: 0,
+            agenda: agenda::Agenda::default(),
             setups,
             requests: collections::BTreeMap::new(),
             next: 0,
@@ -307,8 +307,7 @@
     }
 
     fn post(&mut self, delay: std_time::Duration, parcel: Parcel) {
-        self.sequence += 1;
-        self.queue.insert((self.now + delay, self.sequence), parcel);
+        self.agenda.post(self.now, delay, parcel);
     }
 
     /// Lets time pass.
@@ -317,11 +316,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.replicate();
-            while let Some(entry) = self.queue.first_entry() {
-                if entry.key().0 > self.now {
-                    break;
-                }
-                let parcel = entry.remove();
+            while let Some(parcel) = self.agenda.arrived(self.now) {
                 self.open(parcel);
             }
             for vm in 0..self.kernels.len() {
