Serve twins with one piece: obtaining connections, asks, looks at peers

Read again, without a change of behaviour: - Both kinds of sessions had the loop from a grant to an open connection; it is Shell::obtain now, and the handle counts a session's requests. - Asks for units and for tokens were made in two places; Asks opens, bounds and closes them, also while shares have not grown. - Holders of a rate were ranked twice for each budget of an epoch, and once for each at every configuration, which used them for new budgets only. - Requests that wait for a token were copied into every budget at each round of asks; the lanes tell it. - exchange.rs looked for the VMs of its region in five ways; far targets were gathered in two passes. Own entries and pools of an instance had no function. - A suspicion went to both arbiters' bookkeeping; DEALLOCATE was looked for in the text of every bound statement; the log's bound was built at first use. - Budgets::holders (runs that must confirm) is called confirming, since holders are those of tokens.

--- a/components/daemon/src/dialogue/held.rs
+++ b/components/daemon/src/dialogue/held.rs
@@ -3,11 +3,11 @@
 use std::time as std_time;
 
 use config::Name;
-use errors::{Cause, Refusal};
+use errors::Refusal;
 use kernel::{event, group, position};
 
 use super::Dialogue;
-use crate::{handle, links};
+use crate::{links, shell};
 
 /// A connection held for a statement or a transaction.
 pub(super) struct Held {
@@ -21,43 +21,39 @@
 impl Dialogue {
     /// Asks the kernel for a connection and opens it.
     pub(super) fn obtain(
-        &mut self,
+        &self,
         links: &links::Links,
         access: event::Access,
-        mut retry: bool,
+        retry: bool,
         deadline: std_time::Instant,
     ) -> Result<Held, Refusal> {
-        loop {
-            let grant = self
-                .shell
-                .ask(&self.handle, self.id, &mut self.count, access, retry)?;
-            let request = grant.request;
-            let outcome = if self.shell.clock.now() >= grant.until {
-                event::Outcome::Clean
-            } else {
-                match self.connect(links, &grant, deadline) {
-                    Ok(link) => {
-                        return Ok(Held {
-                            link,
-                            request,
-                            instance: grant.instance,
-                            primary: grant.primary,
-                            floor: grant.floor,
-                        });
-                    }
-                    Err(dialect::Lost::Rejected(
-                        dialect::Reason::Crowded | dialect::Reason::Busy,
-                    )) => event::Outcome::Crowded,
-                    Err(_) => event::Outcome::Unsent,
-                }
-            };
-            self.release(request, outcome);
-            retry = true;
-            if std_time::Instant::now() >= deadline {
-                let hint = handle::UNREACHABLE_RETRY_MS;
-                return Err(Refusal::new(Cause::Unavailable, hint));
+        let patience = shell::Patience {
+            deadline,
+            pause: std_time::Duration::ZERO,
+        };
+        let open = |grant: &event::Grant| {
+            if self.shell.clock.now() >= grant.until {
+                return Err(event::Outcome::Clean);
             }
-        }
+            let link = self.connect(links, grant, deadline);
+            link.map_err(|lost| match lost {
+                dialect::Lost::Rejected(dialect::Reason::Crowded | dialect::Reason::Busy) => {
+                    event::Outcome::Crowded
+                }
+                _ => event::Outcome::Unsent,
+            })
+        };
+        let obtained = self
+            .shell
+            .obtain(&self.handle, self.id, access, retry, patience, &open);
+        let (grant, link) = obtained?;
+        Ok(Held {
+            link,
+            request: grant.request,
+            instance: grant.instance,
+            primary: grant.primary,
+            floor: grant.floor,
+        })
     }
 
     fn connect(
--- a/components/daemon/src/dialogue/mod.rs
+++ b/components/daemon/src/dialogue/mod.rs
@@ -39,7 +39,6 @@
     caller: Box<dyn dialect::Caller>,
     handle: sync::Arc<handle::Handle>,
     id: event::SessionId,
-    count: u64,
     route: String,
     customer: Option<Name>,
     values: dialect::Values,
@@ -79,7 +78,6 @@
                 caller,
                 handle,
                 id,
-                count: 0,
                 route: startup.database,
                 customer: welcome.customer,
                 values: dialect::Values::new(),
@@ -329,7 +327,7 @@
                 }
             }
             if std_time::Instant::now() >= deadline {
-                break Refusal::new(Cause::Unavailable, handle::UNREACHABLE_RETRY_MS);
+                break handle::unreachable();
             }
         };
         self.note(telemetry::Outcome::Refused, begun.elapsed());
--- a/components/daemon/src/dialogue/transaction.rs
+++ b/components/daemon/src/dialogue/transaction.rs
@@ -6,8 +6,7 @@
 use kernel::event;
 
 use super::{Dialogue, Need, held::Held, pause};
-use crate::handle;
-use crate::links;
+use crate::{handle, links};
 
 /// A transaction of the caller.
 pub(super) struct Transaction {
@@ -169,10 +168,7 @@
                 Err(_) => self.discard(links, held, event::Outcome::Broken),
             }
             if std_time::Instant::now() >= deadline {
-                return Err(Refusal::new(
-                    Cause::Unavailable,
-                    handle::UNREACHABLE_RETRY_MS,
-                ));
+                return Err(handle::unreachable());
             }
         }
     }
--- a/components/daemon/src/handle.rs
+++ b/components/daemon/src/handle.rs
@@ -1,6 +1,6 @@
 //! The part of a session that other threads reach, and its talk with the kernel.
 
-use std::{collections, net, sync};
+use std::{collections, net, sync, sync::atomic};
 
 use errors::{Cause, Refusal};
 use kernel::{event, position, time};
@@ -10,6 +10,11 @@
 /// Retry hint where no instance could be reached, in ms.
 pub const UNREACHABLE_RETRY_MS: u32 = 500;
 
+/// Refusal of a request that no instance could be reached for.
+pub fn unreachable() -> Refusal {
+    Refusal::new(Cause::Unavailable, UNREACHABLE_RETRY_MS)
+}
+
 /// What the kernel tells a session.
 #[derive(Debug)]
 pub enum Reply {
@@ -46,6 +51,8 @@
     arrived: sync::Condvar,
     ending: sync::Mutex<Ending>,
     socket: Option<sync::Arc<net::TcpStream>>,
+    /// Requests so far.
+    count: atomic::AtomicU64,
     /// The session answers its caller's next statement before it ends.
     answers: bool,
     /// Secret of its cancel key.
@@ -62,6 +69,7 @@
             arrived: sync::Condvar::new(),
             ending: sync::Mutex::default(),
             socket,
+            count: atomic::AtomicU64::new(0),
             answers: false,
             secret,
             target: sync::Mutex::default(),
@@ -77,6 +85,11 @@
         }
     }
 
+    /// Number of the session's next request.
+    pub fn next_number(&self) -> u64 {
+        self.count.fetch_add(1, atomic::Ordering::Relaxed) + 1
+    }
+
     /// Passes on the kernel's word.
     pub fn push(&self, reply: Reply) {
         locks::lock(&self.replies).push_back(reply);
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -39,7 +39,6 @@
     caller: wire::Caller,
     handle: sync::Arc<handle::Handle>,
     id: event::SessionId,
-    count: u64,
     statements: wire::Statements,
     held: Option<Held>,
     skipping: bool,
@@ -61,7 +60,6 @@
             caller,
             handle,
             id,
-            count: 0,
             statements: wire::Statements::default(),
             held: None,
             skipping: false,
@@ -249,7 +247,7 @@
                     access = next.unwrap_or(access);
                 }
                 Tried::Again(_) => {
-                    let refusal = Refusal::new(Cause::Unavailable, handle::UNREACHABLE_RETRY_MS);
+                    let refusal = handle::unreachable();
                     self.note(measure, telemetry::Outcome::Refused);
                     return self.refuse(&refusal, plan.end);
                 }
@@ -261,43 +259,36 @@
 
     /// Asks the kernel for a connection and opens it.
     fn obtain(
-        &mut self,
+        &self,
         access: event::Access,
-        mut retry: bool,
+        retry: bool,
         deadline: std_time::Instant,
     ) -> Result<Held, Refusal> {
-        loop {
-            let grant = self
-                .shell
-                .ask(&self.handle, self.id, &mut self.count, access, retry)?;
-            let request = grant.request;
-            let server = if self.shell.clock.now() < grant.until {
-                self.connect(&grant.instance)
-            } else {
-                None
-            };
-            if let Some(server) = server {
-                let socket = server.control.clone();
-                self.shell.used.insert(&grant.instance, request, socket);
-                return Ok(Held {
-                    server,
-                    request,
-                    instance: grant.instance,
-                    primary: grant.primary,
-                    access,
-                    failed: false,
-                });
-            }
-            self.release(request, event::Outcome::Unsent);
-            retry = true;
-            if std_time::Instant::now() >= deadline {
-                return Err(Refusal::new(
-                    Cause::Unavailable,
-                    handle::UNREACHABLE_RETRY_MS,
-                ));
-            }
-            thread::sleep(RETRY_PAUSE);
-        }
+        let patience = shell::Patience {
+            deadline,
+            pause: RETRY_PAUSE,
+        };
+        let open = |grant: &event::Grant| {
+            let valid = self.shell.clock.now() < grant.until;
+            let server = valid.then(|| self.connect(&grant.instance)).flatten();
+            server.ok_or(event::Outcome::Unsent)
+        };
+        let obtained = self
+            .shell
+            .obtain(&self.handle, self.id, access, retry, patience, &open);
+        let (grant, server) = obtained?;
+        let socket = server.control.clone();
+        self.shell
+            .used
+            .insert(&grant.instance, grant.request, socket);
+        Ok(Held {
+            server,
+            request: grant.request,
+            instance: grant.instance,
+            primary: grant.primary,
+            access,
+            failed: false,
+        })
     }
 
     /// A connection with the session's parameters.
--- a/components/daemon/src/shell.rs
+++ b/components/daemon/src/shell.rs
@@ -3,6 +3,7 @@
 use std::{
     collections, net, sync,
     sync::{atomic, mpsc},
+    thread, time,
 };
 
 use config::{Fleet, Name};
@@ -14,6 +15,15 @@
 /// Bits of a request's identity below its session's.
 const REQUEST_BITS: u32 = 24;
 
+/// How long a session tries to get a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// When it gives up.
+    pub deadline: time::Instant,
+    /// Pause between two tries.
+    pub pause: time::Duration,
+}
+
 /// Everything that a daemon's threads share.
 pub struct Shell {
     /// Checked settings.
@@ -338,21 +348,42 @@
         self.links.as_ref()
     }
 
-    /// Asks the kernel for a connection for a session's next request; its number
-    /// counts up.
-    pub fn ask(
+    /// Asks the kernel for connections for a session until one can be opened;
+    /// `open` tells how a grant is given back whose connection could not be.
+    pub fn obtain<T>(
+        &self,
+        handle: &handle::Handle,
+        session: event::SessionId,
+        access: event::Access,
+        retry: bool,
+        patience: Patience,
+        open: &dyn Fn(&event::Grant) -> Result<T, event::Outcome>,
+    ) -> Result<(event::Grant, T), Refusal> {
+        let mut grant = self.ask(handle, session, access, retry)?;
+        loop {
+            match open(&grant) {
+                Ok(opened) => return Ok((grant, opened)),
+                Err(outcome) => self.drive(event::Event::Released(grant.request, outcome)),
+            }
+            if time::Instant::now() >= patience.deadline {
+                return Err(handle::unreachable());
+            }
+            thread::sleep(patience.pause);
+            grant = self.ask(handle, session, access, true)?;
+        }
+    }
+
+    /// Asks the kernel for a connection for a session's next request.
+    fn ask(
         &self,
         handle: &handle::Handle,
         session: event::SessionId,
-        count: &mut u64,
         access: event::Access,
         retry: bool,
     ) -> Result<event::Grant, Refusal> {
-        *count += 1;
-        let number = *count & ((1 << REQUEST_BITS) - 1);
-        let id = event::RequestId(session.0 << REQUEST_BITS | number);
+        let number = handle.next_number() & ((1 << REQUEST_BITS) - 1);
         self.drive(event::Event::Requested(event::Request {
-            id,
+            id: event::RequestId(session.0 << REQUEST_BITS | number),
             session,
             access,
             retry,
@@ -360,10 +391,7 @@
         match handle.wait() {
             handle::Reply::Grant(grant) => Ok(grant),
             handle::Reply::Refuse(refusal) => Err(refusal),
-            _ => Err(Refusal::new(
-                Cause::Unavailable,
-                handle::UNREACHABLE_RETRY_MS,
-            )),
+            _ => Err(handle::unreachable()),
         }
     }
 
--- a/components/kernel/src/budget/draw.rs
+++ b/components/kernel/src/budget/draw.rs
@@ -8,7 +8,7 @@
 //! A holder debits before it gives, so a lost or doubled message can lose
 //! tokens and never make any, whatever epoch the taker knows.
 
-use std::{collections, time as std_time};
+use std::time as std_time;
 
 use config::Name;
 
@@ -65,8 +65,8 @@
         Some(std_time::Duration::from_micros(micros))
     }
 
-    fn lack(&self, now: time::Time) -> u64 {
-        let waiting = self.waiting.max(u64::from(self.pressed));
+    fn lack(&self, waiting: u64, now: time::Time) -> u64 {
+        let waiting = waiting.max(u64::from(self.pressed));
         waiting.saturating_sub(self.available(now) / TOKEN)
     }
 
@@ -80,27 +80,25 @@
 }
 
 impl Budgets {
-    /// Notes how many requests of each customer wait for a token.
-    pub fn wait_for(&mut self, waiting: &collections::BTreeMap<Name, u64>) {
-        for (scarce, part) in &mut self.parts {
-            if let Scarce::Rate(customer) = scarce {
-                part.waiting = waiting.get(customer).copied().unwrap_or(0);
-            }
-        }
-    }
-
     /// Asks for tokens of the holders.
     pub(super) fn draws(
         &mut self,
         peers: &[Name],
         near: &[Name],
+        waiting: &dyn Fn(&Name) -> u64,
         now: time::Time,
         out: &mut Vec<(Name, Ask)>,
     ) {
         let own = &self.own.vm;
         for (scarce, part) in &mut self.parts {
-            let lack = part.lack(now);
-            if part.holders.is_empty() || lack == 0 || !part.is_due(now) {
+            let Scarce::Rate(customer) = scarce else {
+                continue;
+            };
+            if part.holders.is_empty() || !part.is_due(now) {
+                continue;
+            }
+            let lack = part.lack(waiting(customer), now);
+            if lack == 0 {
                 continue;
             }
             let reached = part.holders.iter();
@@ -111,15 +109,7 @@
             let Some(holder) = order.get(turn % order.len().max(1)) else {
                 continue;
             };
-            self.nonce += 1;
-            self.asks.insert(self.nonce, scarce.clone());
-            let ask = Ask {
-                scarce: scarce.clone(),
-                epoch: self.epoch.number,
-                nonce: self.nonce,
-                units: 0,
-                tokens: lack,
-            };
+            let ask = self.asks.open(scarce, self.epoch.number, 0, lack);
             out.push(((*holder).clone(), ask));
             part.asked = now;
             part.pressed = false;
@@ -145,7 +135,7 @@
 
     /// Takes tokens that a holder gave; false if nothing has changed.
     pub(super) fn credit_tokens(&mut self, give: &Give, now: time::Time) -> bool {
-        self.asks.remove(&give.nonce);
+        self.asks.close(give);
         let Some(part) = self.parts.get_mut(&give.scarce) else {
             return false;
         };
--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -14,9 +14,12 @@
 
 use crate::{event, panel, sharing, time};
 
+mod asks;
 mod draw;
 mod part;
 
+use asks::Asks;
+
 use part::Part;
 
 /// Units of a customer's budget.
@@ -27,8 +30,6 @@
 /// beyond a limit: two starts of the whole fleet within a window stay within
 /// the half of the tolerance that is not given away.
 const START_PARTS: u64 = 5;
-/// Asks remembered, so that late answers still count.
-const ASKS: usize = 4096;
 /// Time for which a connection that is no longer needed is kept.
 const RELEASE_PERIOD: std_time::Duration = std_time::Duration::from_secs(2);
 /// Time for a taker to confirm what it was given.
@@ -100,9 +101,8 @@
     joined: bool,
     closing: bool,
     parts: collections::BTreeMap<Scarce, Part>,
-    asks: collections::BTreeMap<u64, Scarce>,
+    asks: Asks,
     gives: collections::BTreeMap<u64, time::Time>,
-    nonce: u64,
     turn: usize,
     polled: bool,
     policy: Box<dyn sharing::SharePolicy>,
@@ -113,14 +113,13 @@
     /// their own, `polled`, these are set aside.
     pub fn new(own: event::Member, policy: Box<dyn sharing::SharePolicy>, polled: bool) -> Self {
         Self {
-            nonce: own.incarnation << 24,
+            asks: Asks::new(&own),
             own,
             epoch: event::Epoch::default(),
             grown: false,
             joined: false,
             closing: false,
             parts: collections::BTreeMap::new(),
-            asks: collections::BTreeMap::new(),
             gives: collections::BTreeMap::new(),
             turn: 0,
             polled,
@@ -156,7 +155,14 @@
         for (scarce, part) in &mut self.parts {
             part.fill(now);
             part.holders = draw::holders(scarce, &self.epoch, self.polled);
-            part.equal = equal_share(&self.epoch, &self.own, scarce, part.total, self.polled);
+            part.equal = equal_share(
+                &self.epoch,
+                &self.own,
+                scarce,
+                part.total,
+                self.polled,
+                &part.holders,
+            );
             let target = if self.joined { part.equal } else { 0 };
             part.units = part.units.min(target);
             part.level = part.level.min(part.cap());
@@ -189,7 +195,7 @@
     }
 
     /// Runs that must confirm before shares may grow.
-    pub fn holders(&self) -> impl Iterator<Item = &event::Member> {
+    pub fn confirming(&self) -> impl Iterator<Item = &event::Member> {
         self.epoch.members.iter().chain(&self.epoch.former)
     }
 
@@ -211,32 +217,18 @@
 
     /// Makes known a budget, or its new limit.
     pub fn configure(&mut self, scarce: Scarce, total: u64, limit: Limit, now: time::Time) {
-        let equal = equal_share(&self.epoch, &self.own, &scarce, total, self.polled);
-        let holders = draw::holders(&scarce, &self.epoch, self.polled);
-        let units = if self.grown && self.joined { equal } else { 0 };
-        let part = self.parts.entry(scarce).or_insert_with(|| Part {
-            total,
-            equal,
-            units,
-            level: 0,
-            carry: 0,
-            filled: now,
-            limit,
-            count: 0,
-            demand: 0,
-            measured: now,
-            asked: time::Time::default(),
-            barren: 0,
-            holders,
-            drawn: (0, time::Time::default()),
-            waiting: 0,
-            pressed: false,
-            answered: false,
-            fresh: true,
+        let (epoch, own, polled) = (&self.epoch, &self.own, self.polled);
+        let held = self.grown && self.joined;
+        let part = self.parts.entry(scarce.clone()).or_insert_with(|| {
+            let holders = draw::holders(&scarce, epoch, polled);
+            let equal = equal_share(epoch, own, &scarce, total, polled, &holders);
+            let units = if held { equal } else { 0 };
+            Part::new(total, equal, units, holders, limit, now)
         });
         part.fill(now);
         part.limit = limit;
         if total < part.total {
+            let equal = equal_share(epoch, own, &scarce, total, polled, &part.holders);
             part.units = part.units * total / part.total.max(1);
             part.equal = part.equal.min(equal);
         }
@@ -325,8 +317,9 @@
         let members = self.epoch.members.len();
         let held = |(scarce, part): (&Scarce, &Part)| match scarce {
             Scarce::Rate(_) => part.units > 0 || !part.holders.is_empty(),
-            Scarce::Connections(_) if is_scarce(part.total, members) => true,
-            Scarce::Connections(_) => part.units > 0 || part.equal == 0,
+            Scarce::Connections(_) => {
+                part.units > 0 || part.equal == 0 || part.is_scarce(members, self.polled)
+            }
         };
         self.grown && self.parts.iter().all(held)
     }
@@ -335,7 +328,7 @@
     pub fn is_scarce(&self, instance: &Name) -> bool {
         let part = self.parts.get(&Scarce::Connections(instance.clone()));
         let members = self.epoch.members.len();
-        part.is_some_and(|part| !self.polled && is_scarce(part.total, members))
+        part.is_some_and(|part| part.is_scarce(members, self.polled))
     }
 
     /// Tells how many connections are needed now. Demand follows at once
@@ -344,7 +337,7 @@
         let Some(part) = self.parts.get_mut(&Scarce::Connections(instance.clone())) else {
             return;
         };
-        let scarce = !self.polled && is_scarce(part.total, self.epoch.members.len());
+        let scarce = part.is_scarce(self.epoch.members.len(), self.polled);
         if connections >= part.demand || scarce {
             part.demand = connections;
             part.measured = now;
@@ -355,13 +348,19 @@
     }
 
     /// Asks to send now, each to one of the peers in turn; mostly to those that
-    /// are near.
-    pub fn asks(&mut self, peers: &[Name], near: &[Name], now: time::Time) -> Vec<(Name, Ask)> {
+    /// are near. `waiting` tells how many requests of a customer wait for a token.
+    pub fn asks(
+        &mut self,
+        peers: &[Name],
+        near: &[Name],
+        waiting: &dyn Fn(&Name) -> u64,
+        now: time::Time,
+    ) -> Vec<(Name, Ask)> {
         let mut out = Vec::new();
         if peers.is_empty() || self.closing {
             return out;
         }
-        self.draws(peers, near, now, &mut out);
+        self.draws(peers, near, waiting, now, &mut out);
         if !self.grown {
             return out;
         }
@@ -379,7 +378,7 @@
                 part.barren = 0;
                 continue;
             }
-            let pause = if !self.polled && is_scarce(part.total, members) {
+            let pause = if part.is_scarce(members, self.polled) {
                 SCARCE_ASK_PERIOD
             } else {
                 self.policy.pause(part.barren)
@@ -393,21 +392,10 @@
             part.barren += 1;
             for _ in 0..ASK_FANOUT.min(peers.len()) {
                 self.turn = (self.turn + 1) % peers.len();
-                self.nonce += 1;
-                self.asks.insert(self.nonce, scarce.clone());
-                let ask = Ask {
-                    scarce: scarce.clone(),
-                    epoch: self.epoch.number,
-                    nonce: self.nonce,
-                    units,
-                    tokens: 0,
-                };
+                let ask = self.asks.open(scarce, self.epoch.number, units, 0);
                 out.push((peers[self.turn].clone(), ask));
             }
         }
-        while self.asks.len() > ASKS {
-            self.asks.pop_first();
-        }
         out
     }
 
@@ -456,7 +444,7 @@
 
     /// Credits units given for an ask that has not been answered before.
     pub fn credit(&mut self, give: &Give, now: time::Time) -> bool {
-        if self.asks.get(&give.nonce) != Some(&give.scarce) {
+        if !self.asks.is_open(give) {
             return false;
         }
         if give.units == 0 {
@@ -465,7 +453,7 @@
         if give.epoch != self.epoch.number {
             return false;
         }
-        self.asks.remove(&give.nonce);
+        self.asks.close(give);
         let Some(part) = self.parts.get_mut(&give.scarce) else {
             return false;
         };
@@ -477,11 +465,6 @@
     }
 }
 
-/// Whether not every member can hold a unit.
-fn is_scarce(total: u64, members: usize) -> bool {
-    u64::try_from(members).is_ok_and(|members| total < members)
-}
-
 /// Part of a member in the equal split; the first members take the remainder.
 fn equal_share(
     epoch: &event::Epoch,
@@ -489,22 +472,22 @@
     scarce: &Scarce,
     total: u64,
     polled: bool,
+    holders: &[Name],
 ) -> u64 {
     let members = u64::try_from(epoch.members.len()).unwrap_or(u64::MAX);
     let Some(rank) = epoch.members.iter().position(|member| member == own) else {
         return 0;
     };
     let rank = u64::try_from(rank).unwrap_or(u64::MAX);
-    let holders = draw::holders(scarce, epoch, polled);
     if !holders.is_empty() {
-        return draw::part(&holders, own, total);
+        return draw::part(holders, own, total);
     }
     let total = match scarce {
         Scarce::Rate(_) => total,
         // Every member polls over a connection of its own, and so does a VM
         // that is not yet a member.
         Scarce::Connections(_) if polled => total.saturating_sub(members + 1),
-        Scarce::Connections(instance) if is_scarce(total, epoch.members.len()) => {
+        Scarce::Connections(instance) if part::is_scarce(total, epoch.members.len()) => {
             let names: Vec<_> = epoch.members.iter().map(|m| m.vm.clone()).collect();
             let holders = panel::rank(instance, &names);
             let held = holders.iter().position(|vm| *vm == own.vm);
--- a/components/kernel/src/budget/part.rs
+++ b/components/kernel/src/budget/part.rs
@@ -9,6 +9,11 @@
 
 /// Period over which demand is averaged.
 const DEMAND_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
+/// Whether there are fewer units than members.
+pub(super) fn is_scarce(total: u64, members: usize) -> bool {
+    u64::try_from(members).is_ok_and(|members| total < members)
+}
+
 /// Time for which tokens may be used after a holder gave them: within it they
 /// count for another moment than they are used in, and a third of a second of a
 /// customer's rate lies within what the users tolerate.
@@ -33,8 +38,6 @@
     pub(super) holders: Vec<Name>,
     /// Micro-tokens drawn from a holder, and when.
     pub(super) drawn: (u64, time::Time),
-    /// Requests that wait for a token before they are admitted.
-    pub(super) waiting: u64,
     /// A request that was admitted has found no token.
     pub(super) pressed: bool,
     /// The last holder that was asked has answered.
@@ -44,6 +47,42 @@
 }
 
 impl Part {
+    /// A part that is held from now on.
+    pub(super) fn new(
+        total: u64,
+        equal: u64,
+        units: u64,
+        holders: Vec<Name>,
+        limit: Limit,
+        now: time::Time,
+    ) -> Self {
+        Self {
+            total,
+            equal,
+            units,
+            level: 0,
+            carry: 0,
+            filled: now,
+            limit,
+            count: 0,
+            demand: 0,
+            measured: now,
+            asked: time::Time::default(),
+            barren: 0,
+            holders,
+            drawn: (0, time::Time::default()),
+            pressed: false,
+            answered: false,
+            fresh: true,
+        }
+    }
+
+    /// Whether not every member can hold a unit; connections that VMs poll over
+    /// are set aside for each of them.
+    pub(super) fn is_scarce(&self, members: usize, polled: bool) -> bool {
+        !polled && is_scarce(self.total, members)
+    }
+
     pub(super) fn cap(&self) -> u64 {
         self.limit.burst * self.units
     }
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -323,11 +323,13 @@
                 near.push(name.clone());
             }
         }
-        let count = |lane: &collections::VecDeque<_>| u64::try_from(lane.len()).unwrap_or(u64::MAX);
-        let lanes = self.lanes.iter();
-        let waiting = lanes.map(|(name, lane)| (name.clone(), count(lane)));
-        self.budgets.wait_for(&waiting.collect());
-        for (peer, ask) in self.budgets.asks(&peers, &near, now) {
+        let lanes = &self.lanes;
+        let waiting = |customer: &Name| {
+            let lane = lanes.get(customer);
+            let count = lane.map_or(0, collections::VecDeque::len);
+            u64::try_from(count).unwrap_or(u64::MAX)
+        };
+        for (peer, ask) in self.budgets.asks(&peers, &near, &waiting, now) {
             self.send(peer, message::Message::Ask(ask));
         }
     }
@@ -373,13 +375,19 @@
         let Some(pool) = self.pools.get_mut(&suspicion.group) else {
             return;
         };
-        pool.handover.suspected(from.clone(), suspicion.term, now);
-        pool.promotion
-            .suspected(from.clone(), domain, suspicion.term, now);
-        // A VM without traffic to the leader has not missed it yet.
-        if self.arbiter == group::Arbiter::Store && suspicion.term == pool.group.newest() {
-            pool.group.doubt_leader(now);
-            self.poll(&suspicion.group);
+        let term = suspicion.term;
+        match self.arbiter {
+            group::Arbiter::Instances => {
+                pool.promotion.suspected(from.clone(), domain, term, now);
+            }
+            group::Arbiter::Store => {
+                pool.handover.suspected(from.clone(), term, now);
+                // A VM without traffic to the leader has not missed it yet.
+                if term == pool.group.newest() {
+                    pool.group.doubt_leader(now);
+                    self.poll(&suspicion.group);
+                }
+            }
         }
     }
 
@@ -467,6 +475,11 @@
         }
     }
 
+    /// Pool of the group that an instance belongs to.
+    pub(crate) fn pool_of(&mut self, instance: &Name) -> Option<&mut daemon::Pool> {
+        self.pools.get_mut(self.owner.get(instance)?)
+    }
+
     pub(crate) fn group_of(&self, instance: &Name) -> Option<Name> {
         self.owner.get(instance).cloned()
     }
--- a/components/kernel/src/epochs.rs
+++ b/components/kernel/src/epochs.rs
@@ -73,7 +73,7 @@
             return;
         }
         let own = self.members.own();
-        let confirmed = self.budgets.holders().all(|holder| {
+        let confirmed = self.budgets.confirming().all(|holder| {
             let peer = self.members.peers().get(&holder.vm);
             let reached =
                 peer.is_some_and(|p| p.incarnation == holder.incarnation && p.epoch >= number);
@@ -144,24 +144,22 @@
         let epoch = self.budgets.epoch();
         let mut former: Vec<_> = self
             .budgets
-            .holders()
+            .confirming()
             .filter(|holder| !live.contains(holder))
             .filter(|holder| !self.members.is_gone(holder, self.now))
             .cloned()
             .collect();
         former.sort();
         former.dedup();
-        let (mut members, mut former) = (live, former);
-        if self.arbiter == group::Arbiter::Store {
-            // A member that is silent but listed may be heard again soon, and has
-            // to confirm in any case: it keeps its part.
-            let (kept, left): (Vec<_>, Vec<_>) = former
-                .into_iter()
-                .partition(|member| epoch.members.contains(member));
-            members.extend(kept);
-            members.sort();
-            former = left;
-        }
+        // Where the store lists the VMs, a member that is silent but listed may be
+        // heard again soon, and has to confirm in any case: it keeps its part.
+        let ruled = self.arbiter == group::Arbiter::Store;
+        let (kept, former): (Vec<_>, Vec<_>) = former
+            .into_iter()
+            .partition(|member| ruled && epoch.members.contains(member));
+        let mut members = live;
+        members.extend(kept);
+        members.sort();
         event::Epoch {
             number: epoch.number + 1,
             members,
--- a/components/kernel/src/exchange.rs
+++ b/components/kernel/src/exchange.rs
@@ -11,7 +11,7 @@
 use config::Name;
 
 use crate::{
-    group,
+    event, group,
     membership::{Membership, Peer},
     time,
 };
@@ -25,14 +25,21 @@
 const DOMAIN_RELAYS: usize = 2;
 
 impl Membership {
+    /// VMs of the list, with their entries.
+    fn entries(&self) -> impl Iterator<Item = (&Name, &Peer, &event::Vm)> {
+        let peers = self.peers.iter();
+        peers.filter_map(|(name, peer)| Some((name, peer, peer.listed.as_ref()?)))
+    }
+
+    /// Other VMs of the own region.
+    fn near(&self) -> impl Iterator<Item = (&Name, &Peer, &event::Vm)> {
+        let own = |(_, _, vm): &(&Name, &Peer, &event::Vm)| vm.region == self.region;
+        self.entries().filter(own)
+    }
+
     /// Whether relays of failure domains carry the exchange.
     fn is_layered(&self) -> bool {
-        let near = |peer: &&Peer| {
-            let listed = peer.listed.as_ref();
-            listed.is_some_and(|vm| vm.region == self.region)
-        };
-        let others = self.peers.values().filter(near).count();
-        self.arbiter == group::Arbiter::Store && others >= MESH_LIMIT
+        self.arbiter == group::Arbiter::Store && self.near().count() >= MESH_LIMIT
     }
 
     /// VM of the own failure domain that reads the store for the others, the last
@@ -41,12 +48,10 @@
         if !self.is_layered() {
             return None;
         }
-        let near = self.peers.iter().filter(|(_, peer)| {
-            let listed = peer.listed.as_ref();
-            let own = listed.is_some_and(|vm| vm.domain == self.domain && !vm.leaving);
-            own && self.may_relay(peer, now)
+        let own = self.entries().filter(|(_, peer, vm)| {
+            vm.domain == self.domain && !vm.leaving && self.may_relay(peer, now)
         });
-        let last = near.map(|(name, _)| name).max();
+        let last = own.map(|(name, _, _)| name).max();
         let reader = last.filter(|name| **name > self.vm);
         Some(reader.unwrap_or(&self.vm).clone())
     }
@@ -56,11 +61,8 @@
     fn layered_targets(&self, now: time::Time) -> Vec<Name> {
         let mut domains = collections::BTreeMap::<&Name, Vec<&Name>>::new();
         domains.entry(&self.domain).or_default().push(&self.vm);
-        for (name, peer) in &self.peers {
-            if let Some(vm) = &peer.listed
-                && vm.region == self.region
-                && self.may_relay(peer, now)
-            {
+        for (name, peer, vm) in self.near() {
+            if self.may_relay(peer, now) {
                 domains.entry(&vm.domain).or_default().push(name);
             }
         }
@@ -89,17 +91,20 @@
 
     /// One relay of each other region; all VMs of one that does not answer.
     fn far_targets(&self, now: time::Time) -> Vec<Name> {
-        let mut relays = collections::BTreeMap::new();
-        for (name, peer) in &self.peers {
-            if let Some(vm) = &peer.listed
-                && vm.region != self.region
-                && self.responsive(peer, now)
-            {
-                relays.entry(&vm.region).or_insert(name);
+        let mut regions = collections::BTreeMap::<&Name, Vec<_>>::new();
+        for (name, peer, vm) in self.entries() {
+            if vm.region != self.region {
+                regions.entry(&vm.region).or_default().push((name, peer));
+            }
+        }
+        let mut names = Vec::new();
+        for vms in regions.into_values() {
+            let answering = vms.iter().find(|(_, peer)| self.responsive(peer, now));
+            match answering {
+                Some((name, _)) => names.push((*name).clone()),
+                None => names.extend(vms.into_iter().map(|(name, _)| name.clone())),
             }
         }
-        let mut names: Vec<_> = relays.into_values().cloned().collect();
-        names.extend(self.unanswered_regions(now));
         names
     }
 
@@ -114,11 +119,7 @@
 
     /// Its region, and as the region's relay the relays of the others.
     fn mesh_targets(&self, now: time::Time) -> Vec<Name> {
-        let near = self.peers.iter().filter(|(_, peer)| {
-            let listed = peer.listed.as_ref();
-            listed.is_some_and(|vm| vm.region == self.region)
-        });
-        let mut names: Vec<_> = near.map(|(name, _)| name.clone()).collect();
+        let mut names: Vec<_> = self.near().map(|(name, _, _)| name.clone()).collect();
         if self.is_relay(now) {
             names.extend(self.far_targets(now));
         }
@@ -127,30 +128,8 @@
 
     /// Whether this VM exchanges with other regions.
     pub fn is_relay(&self, now: time::Time) -> bool {
-        !self.peers.iter().any(|(name, peer)| {
-            let near = peer
-                .listed
-                .as_ref()
-                .is_some_and(|vm| vm.region == self.region);
-            near && *name < self.vm && self.responsive(peer, now)
-        })
-    }
-
-    /// Every VM of the regions in which none has answered of late.
-    fn unanswered_regions(&self, now: time::Time) -> Vec<Name> {
-        let listed = || {
-            self.peers
-                .iter()
-                .filter_map(|(name, peer)| peer.listed.as_ref().map(|vm| (name, peer, vm)))
-        };
-        let answered: collections::BTreeSet<_> = listed()
-            .filter(|(_, peer, _)| self.responsive(peer, now))
-            .map(|(_, _, vm)| &vm.region)
-            .collect();
-        listed()
-            .filter(|(_, _, vm)| vm.region != self.region && !answered.contains(&vm.region))
-            .map(|(name, _, _)| name.clone())
-            .collect()
+        let mut near = self.near();
+        !near.any(|(name, peer, _)| *name < self.vm && self.responsive(peer, now))
     }
 
     pub(super) fn responsive(&self, peer: &Peer, now: time::Time) -> bool {
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -217,8 +217,8 @@
                 None => self.interval,
             };
             let overdue = since >= interval && seen.pending == 0;
-            let first = seen.sent == time::Time::default() && seen.pending == 0;
-            let first = first || seen.postponed;
+            let never = seen.sent == time::Time::default() && seen.pending == 0;
+            let first = never || seen.postponed;
             if first || ((asked || again) && seen.pending < POLLS_IN_FLIGHT) || overdue {
                 seen.sent = now;
                 seen.pending += 1;
--- a/components/kernel/src/group/ruled.rs
+++ b/components/kernel/src/group/ruled.rs
@@ -59,19 +59,15 @@
         let Some(seen) = self.instances.get_mut(instance) else {
             return;
         };
-        let pause = match seen.down {
+        let (pause, until) = match seen.down {
             // Several requests have found it down at once.
-            Some(down) if now < down.until => down.pause,
-            Some(down) => (down.pause * 2).min(DOWN_PAUSE_LIMIT),
-            None => DOWN_PAUSE,
-        };
-        let until = seen.down.map_or(now + pause, |down| {
-            if now < down.until {
-                down.until
-            } else {
-                now + pause
+            Some(down) if now < down.until => (down.pause, down.until),
+            Some(down) => {
+                let pause = (down.pause * 2).min(DOWN_PAUSE_LIMIT);
+                (pause, now + pause)
             }
-        });
+            None => (DOWN_PAUSE, now + DOWN_PAUSE),
+        };
         let unreached = unreached || seen.down.is_some_and(|down| down.unreached);
         seen.down = Some(Down {
             until,
--- a/components/kernel/src/replacing.rs
+++ b/components/kernel/src/replacing.rs
@@ -140,10 +140,7 @@
     }
 
     pub(crate) fn resumed(&mut self, instance: &Name, done: bool) {
-        let Some(group) = self.group_of(instance) else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&group) {
+        if let Some(pool) = self.pool_of(instance) {
             pool.handover.resumed(instance, done);
         }
     }
--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -275,6 +275,14 @@
         })
     }
 
+    /// Entry of a VM.
+    pub fn member(&self, vm: &Name) -> Option<&event::Entry> {
+        match self.rows.get(&event::RowKey::Member(vm.clone()))? {
+            (_, event::Row::Member(entry)) => Some(entry),
+            _ => None,
+        }
+    }
+
     /// Row of a group's leader with its version.
     pub fn leader(&self, group: &Name) -> Option<(u64, &leader::Leader)> {
         match self.rows.get(&event::RowKey::Leader(group.clone()))? {
--- a/components/kernel/src/watching.rs
+++ b/components/kernel/src/watching.rs
@@ -67,8 +67,7 @@
         for (name, born) in &births {
             let known = self.watching.births.get(name);
             let renewed = known.is_some_and(|known| known != born);
-            let pool = self.owner.get(name).and_then(|g| self.pools.get_mut(g));
-            if let Some(pool) = pool.filter(|_| renewed) {
+            if let Some(pool) = self.pool_of(name).filter(|_| renewed) {
                 pool.group.renew(name);
             }
         }
@@ -117,11 +116,8 @@
         if self.stopping || self.view.seen(view::Part::Rows).is_none() {
             return;
         }
-        let key = event::RowKey::Member(self.setup.vm.clone());
-        let doubted = match self.view.row(&key) {
-            Some((_, event::Row::Member(entry))) => entry.doubted,
-            _ => false,
-        };
+        let entry = self.view.member(&self.setup.vm);
+        let doubted = entry.is_some_and(|entry| entry.doubted);
         if self.members.is_listed() {
             self.watching.listed = true;
             if !doubted {
@@ -133,18 +129,16 @@
             return;
         }
         if !self.members.is_listed() {
-            self.renew_member(&key);
+            self.renew_member();
         }
         self.watching.registering = Some(self.now);
         self.write_member(false);
     }
 
     /// Takes a new run number, if the one used so far may have been seen.
-    fn renew_member(&mut self, key: &event::RowKey) {
-        let stored = match self.view.row(key) {
-            Some((_, event::Row::Member(entry))) => entry.incarnation,
-            _ => 0,
-        };
+    fn renew_member(&mut self) {
+        let entry = self.view.member(&self.setup.vm);
+        let stored = entry.map_or(0, |entry| entry.incarnation);
         let used = self.members.own().incarnation;
         if self.watching.listed || stored >= used {
             self.watching.listed = false;
@@ -248,39 +242,31 @@
 
     /// Whether the store does not name this run of the daemon.
     pub(crate) fn is_superseded(&self) -> bool {
-        let key = event::RowKey::Member(self.setup.vm.clone());
         let own = self.members.own().incarnation;
-        match self.view.row(&key) {
-            Some((_, event::Row::Member(entry))) => entry.incarnation != own,
-            _ => true,
-        }
+        let entry = self.view.member(&self.setup.vm);
+        entry.is_none_or(|entry| entry.incarnation != own)
     }
 
     pub(crate) fn observed(&mut self, seen: &event::Observation) {
-        let Some(name) = self.owner.get(&seen.instance).cloned() else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&name) {
+        let now = self.now;
+        if let Some(pool) = self.pool_of(&seen.instance) {
             pool.group
-                .placed(self.now, &seen.instance, seen.sent, seen.applied);
+                .placed(now, &seen.instance, seen.sent, seen.applied);
         }
     }
 
     pub(crate) fn delayed(&mut self, instance: &Name) {
-        let Some(name) = self.owner.get(instance).cloned() else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&name) {
-            pool.group.delayed(instance, self.now);
+        let now = self.now;
+        if let Some(pool) = self.pool_of(instance) {
+            pool.group.delayed(instance, now);
+        }
+        if let Some(group) = self.group_of(instance) {
+            self.poll(&group);
         }
-        self.poll(&name);
     }
 
     pub(crate) fn unpolled(&mut self, instance: &Name, live: bool) {
-        let Some(name) = self.owner.get(instance).cloned() else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&name) {
+        if let Some(pool) = self.pool_of(instance) {
             pool.group.unpolled(instance, live);
         }
     }
--- a/components/telemetry/src/logger.rs
+++ b/components/telemetry/src/logger.rs
@@ -31,21 +31,15 @@
 /// The last lines, and what may still be written.
 static STATE: sync::Mutex<State> = sync::Mutex::new(State {
     recent: collections::VecDeque::new(),
-    volume: None,
+    volume: volume::Volume::new(),
 });
 
 struct State {
     recent: collections::VecDeque<String>,
-    volume: Option<volume::Volume>,
+    volume: volume::Volume,
 }
 
 impl State {
-    /// Whether a line may be written.
-    fn admit(&mut self, target: &str, now: u64) -> bool {
-        let volume = self.volume.get_or_insert_default();
-        volume.admit(target, now)
-    }
-
     fn keep(&mut self, line: &str) {
         if self.recent.len() == RECENT {
             self.recent.pop_front();
@@ -144,7 +138,7 @@
         let mut line = serde_json::Map::new();
         let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
         let ms = since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
-        if !state().admit(record.target(), ms) {
+        if !state().volume.admit(record.target(), ms) {
             DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
             return;
         }
--- a/components/telemetry/src/volume.rs
+++ b/components/telemetry/src/volume.rs
@@ -23,14 +23,19 @@
 
 impl Default for Volume {
     fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Volume {
+    /// The whole burst.
+    pub const fn new() -> Self {
         Self {
             level: BURST * PARTS,
             at: 0,
         }
     }
-}
 
-impl Volume {
     /// Whether a line of the target may be written at `now`, in ms of any clock
     /// that does not go back by much.
     pub fn admit(&mut self, target: &str, now: u64) -> bool {
--- a/components/wire/src/statements.rs
+++ b/components/wire/src/statements.rs
@@ -177,7 +177,9 @@
             return Ok(Step::Send(frame.clone()));
         };
         self.portals.remove(&portal);
-        if let Some(target) = deallocate::Target::of(&statement.sql) {
+        if statement.class == classify::Class::Deallocate
+            && let Some(target) = deallocate::Target::of(&statement.sql)
+        {
             self.portals.insert(portal, target);
             return Ok(Step::Made(b'2', b""));
         }
