--- a/components/kernel/src/admission.rs
+++ b/components/kernel/src/admission.rs
@@ -15,6 +15,8 @@
 pub struct Waiting {
     /// Request.
     pub request: event::Request,
+    /// When it began to wait.
+    pub since: time::Time,
     /// When it is refused.
     pub deadline: time::Time,
 }
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -156,6 +156,7 @@
         let lane = self.lanes.entry(customer.clone()).or_default();
         lane.push_back(admission::Waiting {
             request,
+            since: self.now,
             deadline: self.now + patience,
         });
         self.send_asks();
@@ -199,7 +200,10 @@
                         let refusal = self.short_of_tokens(wait);
                         self.refuse(&front.request, refusal);
                     }
-                    Ok(_) => self.enqueue(front.request),
+                    Ok(_) => {
+                        self.load.tokens.add(self.now.since(front.since));
+                        self.enqueue(front.request);
+                    }
                 }
             }
         }
@@ -218,6 +222,7 @@
             .map_or(1, |entry| entry.weight);
         let item = admission::Waiting {
             request,
+            since: self.now,
             deadline: self.now + self.setup.limits.wait,
         };
         let Some(pool) = self.pools.get_mut(&group) else {
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -330,6 +330,7 @@
             u64::try_from(count).unwrap_or(u64::MAX)
         };
         for (peer, ask) in self.budgets.asks(&peers, &near, &waiting, now) {
+            self.load.asks += 1;
             self.send(peer, message::Message::Ask(ask));
         }
     }
@@ -339,6 +340,7 @@
             return;
         }
         if let Some(give) = self.budgets.give(ask, self.now) {
+            self.load.gives += 1;
             // Actions are carried out in order: connections close first.
             self.resize_one(&give.scarce);
             self.send(from.clone(), message::Message::Give(give));
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -7,8 +7,8 @@
 use errors::{Cause, Refusal};
 
 use crate::{
-    admission, budget, consistency, event, following, group, handover, journal, membership, plugin,
-    position, promotion, revision, sessions, time, view, warm,
+    admission, budget, consistency, event, following, group, handover, journal, load, membership,
+    plugin, position, promotion, revision, sessions, time, view, warm,
 };
 
 /// Retry hint where a database is missing, in ms.
@@ -84,9 +84,11 @@
     pub(crate) warm: warm::Warm,
     pub(crate) lanes: collections::BTreeMap<Name, collections::VecDeque<admission::Waiting>>,
     pub(crate) bursts: collections::BTreeMap<Name, Burst>,
+    pub(crate) load: load::Load,
     pub(crate) admission: &'static plugin::Admission,
     pub(crate) reads: Box<dyn consistency::ReadPolicy>,
     refused: bool,
+    lacks: Option<journal::Lack>,
     leaving: bool,
     pub(crate) stopping: bool,
     stopped: bool,
@@ -128,9 +130,11 @@
             warm: warm::Warm::default(),
             lanes: collections::BTreeMap::new(),
             bursts: collections::BTreeMap::new(),
+            load: load::Load::default(),
             admission,
             reads,
             refused: false,
+            lacks: Some(journal::Lack::View),
             leaving: false,
             stopping: false,
             stopped: false,
@@ -191,11 +195,20 @@
 
     /// Whether new sessions are welcome.
     pub fn is_ready(&self) -> bool {
-        !self.leaving
-            && !self.stopping
-            && self.revision() > 0
-            && self.is_fresh()
-            && self.budgets.is_usable()
+        self.lacking().is_none()
+    }
+
+    /// What this VM lacks to be ready.
+    fn lacking(&self) -> Option<journal::Lack> {
+        if self.leaving || self.stopping {
+            Some(journal::Lack::Stopping)
+        } else if self.revision() == 0 || !self.is_fresh() {
+            Some(journal::Lack::View)
+        } else if !self.budgets.is_usable() {
+            Some(journal::Lack::Shares)
+        } else {
+            None
+        }
     }
 
     /// Floor of a session, if known.
@@ -344,6 +357,8 @@
         self.admit_lanes();
         self.report_bursts();
         self.note_freshness();
+        self.note_readiness();
+        self.report_load();
         self.finish_stop();
     }
 
@@ -416,6 +431,14 @@
         });
     }
 
+    fn note_readiness(&mut self) {
+        let lacks = self.lacking();
+        if lacks != self.lacks {
+            self.lacks = lacks;
+            self.record(journal::Decision::Readiness { lacks });
+        }
+    }
+
     pub(crate) fn stop(&mut self) {
         if self.stopping {
             return;
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -54,6 +54,7 @@
         let Some(item) = item else {
             return false;
         };
+        self.load.connections.add(self.now.since(item.since));
         self.grant(
             &item.request,
             group,
@@ -151,6 +152,7 @@
         let (Some(item), Some(choice)) = (item, choice) else {
             return false;
         };
+        self.load.connections.add(self.now.since(item.since));
         let chosen = candidates.swap_remove(choice);
         self.settle_floor(item.request.session, group);
         let floor = self.applied_floor(item.request.session, group);
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -87,6 +87,24 @@
         /// Time since the last confirmation, in ms.
         silent_ms: u64,
     },
+    /// Balancers may send callers here, or may not any more.
+    #[display("{}", match lacks { Some(lacks) => format!("not ready: {lacks}"), None => "ready".into() })]
+    Readiness {
+        /// What is missing; none if the VM is ready.
+        lacks: Option<Lack>,
+    },
+    /// What requests waited for since the last entry.
+    #[display("tokens: {tokens}; connections: {connections}; {asks} asks sent, {gives} gives")]
+    Load {
+        /// Requests that waited for a token and got one.
+        tokens: Waits,
+        /// Requests that were granted a connection.
+        connections: Waits,
+        /// Asks for shares and tokens sent to peers.
+        asks: u64,
+        /// Asks of peers that were met.
+        gives: u64,
+    },
     /// A budget epoch was adopted.
     #[display("budget epoch {number} with {members} members, {}", if *grown { "shares grown" } else { "shrunk first" })]
     Epoch {
@@ -131,6 +149,33 @@
     },
 }
 
+/// What a VM lacks to be ready.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lack {
+    /// The VM is leaving or stopping.
+    #[display("stopping")]
+    Stopping,
+    /// No configuration that is known to be in force.
+    #[display("no confirmed configuration")]
+    View,
+    /// Its part of the budgets.
+    #[display("no part of the budgets yet")]
+    Shares,
+}
+
+/// Waits of requests.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{count} requests waited {total_ms} ms in all, {longest_ms} ms at most")]
+pub struct Waits {
+    /// Requests.
+    pub count: u64,
+    /// Sum, in ms.
+    pub total_ms: u64,
+    /// Longest, in ms.
+    pub longest_ms: u64,
+}
+
 /// Where a revision was learnt.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod handover;
 pub mod journal;
 pub mod leader;
+mod load;
 pub mod membership;
 pub mod message;
 pub mod panel;
