--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -188,3 +188,56 @@
     assert_eq!(play(&mut world, 20), (250, 0), "{:?}", world.log);
     assert!(!world.recorded("budget epoch"), "{:?}", world.log);
 }
+
+/// Half of the shortest time in which callers want an answer, for all that comes
+/// before a statement is sent.
+const LONGEST_WAIT: std::time::Duration = ms(300);
+
+/// Kills and starts one VM after the other, one in `pause`, while all others
+/// send the customer's reads, one every 50 ms. Returns how often one of them
+/// was not ready.
+fn play_restarts(world: &mut World, pause: u64) -> usize {
+    world.grants.clear();
+    world.refused.clear();
+    world.longest_wait = ms(0);
+    let mut unready = 0;
+    for round in 0..24_usize {
+        world.restart(round);
+        for i in 0..usize::try_from(pause / 50).expect("a count") {
+            // The five VMs that were started last may not be ready yet.
+            let vm = (round + 1 + i * 7 % 19) % 24;
+            unready += usize::from(!world.kernels[vm].is_ready());
+            let session = world.session(vm, "keyed");
+            world.request(vm, session, false);
+            world.run(ms(50));
+        }
+    }
+    world.run(ms(500));
+    unready
+}
+
+#[test]
+fn restarts_of_other_vms_leave_a_vm_ready() {
+    let mut world = scarce();
+    assert_eq!(play_restarts(&mut world, 2000), 0);
+}
+
+#[test]
+fn restarts_of_other_vms_keep_no_request_waiting_for_a_connection() {
+    let mut world = scarce();
+    world.work = ms(20);
+    play_restarts(&mut world, 2000);
+    assert_eq!(world.refused, [], "{:?}", world.log);
+    assert!(
+        world.longest_wait <= LONGEST_WAIT,
+        "{:?}",
+        world.longest_wait
+    );
+}
+
+#[test]
+fn restarts_of_holders_take_no_customer_below_its_rate() {
+    let mut world = limited();
+    play_restarts(&mut world, 300);
+    assert_eq!(world.refused, [], "{:?}", world.log);
+}
--- a/components/kernel/tests/ruled/callers.rs
+++ b/components/kernel/tests/ruled/callers.rs
@@ -24,6 +24,7 @@
         self.next += 1;
         let id = event::RequestId(session.0 << 24 | self.next);
         self.requests.insert(id, (vm, write));
+        self.asked.insert(id, self.now);
         self.ask(vm, id, false);
     }
 
@@ -50,17 +51,30 @@
 
     pub(super) fn execute(&mut self, vm: usize, id: event::RequestId, grant: &event::Grant) {
         let instance = index(&grant.instance);
-        let (_, write) = self.requests[&id];
         if self.instances[instance].silent {
             return self.post(CONNECT_TIMEOUT, Parcel::Unsent(vm, id));
         }
         if !self.reaches(vm, instance) {
             return self.unsent(vm, id);
         }
-        if self.instances[instance].crowded {
+        let full = self.connected[instance] >= self.connections;
+        if full || self.instances[instance].crowded {
+            self.turned_away += 1;
             self.drive(vm, event::Event::Released(id, event::Outcome::Crowded));
             return self.ask(vm, id, true);
         }
+        self.connected[instance] += 1;
+        if self.work.is_zero() {
+            return self.finish(vm, id, grant);
+        }
+        self.post(self.work, Parcel::Done(vm, id, grant.clone()));
+    }
+
+    /// The instance answers, and the connection is closed.
+    pub(super) fn finish(&mut self, vm: usize, id: event::RequestId, grant: &event::Grant) {
+        let instance = index(&grant.instance);
+        let (_, write) = self.requests[&id];
+        self.connected[instance] -= 1;
         let status = self.status(instance);
         if write && status.role == position::Role::Replica {
             self.drive(vm, event::Event::Released(id, event::Outcome::ReadOnly));
--- a/components/kernel/tests/ruled/mod.rs
+++ b/components/kernel/tests/ruled/mod.rs
@@ -63,6 +63,7 @@
     Order(usize, event::Order),
     Lead(usize),
     Run(usize, event::RequestId, event::Grant),
+    Done(usize, event::RequestId, event::Grant),
     Unsent(usize, event::RequestId),
     Resume(usize, usize),
 }
@@ -112,6 +113,16 @@
     limits: collections::BTreeMap<(usize, usize), u32>,
     /// Most connections that all VMs together might hold to an instance.
     pub most_connected: u32,
+    /// Time that a statement takes at an instance.
+    pub work: std_time::Duration,
+    /// Connections open to each instance; it refuses those beyond its limit.
+    pub connected: Vec<u32>,
+    /// Connections that instances have refused.
+    pub turned_away: usize,
+    /// When each request was sent that has not been granted.
+    asked: collections::BTreeMap<event::RequestId, time::Time>,
+    /// Longest time from a request to its first grant.
+    pub longest_wait: std_time::Duration,
     /// VMs that have read the store.
     pub readers: collections::BTreeSet<usize>,
     fed: Vec<u64>,
@@ -289,6 +300,11 @@
             version: 1,
             limits: collections::BTreeMap::new(),
             most_connected: 0,
+            work: std_time::Duration::ZERO,
+            connected: vec![0; 3],
+            turned_away: 0,
+            asked: collections::BTreeMap::new(),
+            longest_wait: std_time::Duration::ZERO,
             readers: collections::BTreeSet::new(),
             fed: vec![0; options.vms],
             proved: vec![time::Time::default(); options.vms],
@@ -505,6 +521,9 @@
             }
             event::Action::Grant(grant) => {
                 self.grants.push((index(&grant.instance), grant.primary));
+                if let Some(asked) = self.asked.remove(&grant.request) {
+                    self.longest_wait = self.longest_wait.max(self.now.since(asked));
+                }
                 self.post(WAY, Parcel::Run(vm, grant.request, grant));
             }
             event::Action::Refuse(_, refusal) if refusal.cause == Cause::OutcomeUnknown => {
--- a/components/kernel/tests/ruled/network.rs
+++ b/components/kernel/tests/ruled/network.rs
@@ -84,6 +84,7 @@
                 }
             }
             Parcel::Run(vm, request, grant) => self.execute(vm, request, &grant),
+            Parcel::Done(vm, request, grant) => self.finish(vm, request, &grant),
         }
     }
 
