Keep VMs of a large fleet ready while an epoch is confirmed

Balancers took up to 70 of 73 VMs out of rotation each time a VM stopped or started, since a VM counted as ready only with its shares of the newest budget epoch taken up. A large fleet needs no share for a request: tokens are drawn of their holders and connections are judged by instances. There a VM is now ready as soon as it knows the members and the configuration in force.

--- a/components/kernel/src/budget/draw.rs
+++ b/components/kernel/src/budget/draw.rs
@@ -23,12 +23,17 @@
 /// Time after which holders that had no token are worth asking again.
 const SPENT_PERIOD: std_time::Duration = std_time::Duration::from_millis(80);
 
+/// Whether VMs draw tokens of a few holders.
+pub(super) fn is_drawn(members: usize, polled: bool) -> bool {
+    !polled && members > SHARED_MEMBERS
+}
+
 /// VMs that hold a budget for the whole fleet; none if all share it.
 pub(super) fn holders(scarce: &Scarce, epoch: &event::Epoch, polled: bool) -> Vec<Name> {
     let Scarce::Rate(customer) = scarce else {
         return Vec::new();
     };
-    if polled || epoch.members.len() <= SHARED_MEMBERS {
+    if !is_drawn(epoch.members.len(), polled) {
         return Vec::new();
     }
     let members: Vec<_> = epoch.members.iter().map(|m| m.vm.clone()).collect();
--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -312,12 +312,15 @@
         self.parts.get(scarce).map_or(0, |part| part.units)
     }
 
-    /// Whether this VM holds its part of the epoch, and a part of every rate;
-    /// connections may be too few for a part on every VM.
+    /// Whether this VM can pay for requests: it holds its part of the epoch, or
+    /// draws tokens from those that hold them.
     pub fn is_usable(&self) -> bool {
+        if draw::is_drawn(self.epoch.members.len(), self.polled) {
+            return true;
+        }
         let members = self.epoch.members.len();
         let held = |(scarce, part): (&Scarce, &Part)| match scarce {
-            Scarce::Rate(_) => part.units > 0 || !part.holders.is_empty(),
+            Scarce::Rate(_) => part.units > 0,
             Scarce::Connections(_) => {
                 part.units > 0 || part.equal == 0 || room::is_open(part.total, members, self.polled)
             }
