Take up a holder's part under the epoch that named it, or after the refusal time

A holder of a customer's rate that had started again waited until every member had confirmed the newest epoch. Each further epoch began that wait anew, and a silent VM made it last until it was removed and counted as gone, so in a fleet whose VMs restart one after the other, or of which some are cut off, rates shrank by a quarter a holder.

A part that is the same in all epochs since one is now taken up as soon as that one is confirmed. Besides, an epoch counts as confirmed once the refusal time has passed since its adoption: whoever has not read it by then refuses all keyed requests. That holds only where the store arbitrates.

--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -99,6 +99,8 @@
     own: event::Member,
     epoch: event::Epoch,
     grown: bool,
+    /// Epochs adopted whose members have not all confirmed, the oldest first.
+    unconfirmed: collections::VecDeque<(event::Epoch, time::Time)>,
     joined: bool,
     closing: bool,
     parts: collections::BTreeMap<Scarce, Part>,
@@ -118,6 +120,7 @@
             own,
             epoch: event::Epoch::default(),
             grown: false,
+            unconfirmed: collections::VecDeque::new(),
             joined: false,
             closing: false,
             parts: collections::BTreeMap::new(),
@@ -149,12 +152,14 @@
             return false;
         }
         self.epoch = epoch.clone();
+        self.unconfirmed.push_back((epoch.clone(), now));
         self.grown = false;
         self.joined = epoch.members.contains(&self.own);
         self.asks.clear();
         self.gives.clear();
         for (scarce, part) in &mut self.parts {
             part.fill(now);
+            let former = (!part.holders.is_empty()).then_some(part.equal);
             part.holders = draw::holders(scarce, &self.epoch, self.polled);
             part.equal = equal_share(
                 &self.epoch,
@@ -167,6 +172,14 @@
             let target = if self.joined { part.equal } else { 0 };
             part.units = part.units.min(target);
             part.level = part.level.min(part.cap());
+            // A holder's part is the same in every epoch that names it, so a later
+            // one does not put off what an earlier one allows.
+            let kept = former == Some(target) && !part.holders.is_empty();
+            part.claim = match part.claim {
+                _ if part.units == target => None,
+                Some(claim) if kept => Some(claim),
+                _ => Some(epoch.number),
+            };
         }
         true
     }
@@ -182,6 +195,7 @@
             part.fill(now);
             part.units = 0;
             part.level = 0;
+            part.claim = None;
         }
     }
 
@@ -195,20 +209,31 @@
         self.closing = true;
     }
 
-    /// Runs that must confirm before shares may grow.
+    /// Runs that may hold shares of this or an earlier epoch.
     pub fn confirming(&self) -> impl Iterator<Item = &event::Member> {
         self.epoch.members.iter().chain(&self.epoch.former)
     }
 
-    /// Takes up the full part of the epoch.
-    pub fn grow(&mut self, now: time::Time) {
-        self.grown = true;
+    /// Epochs adopted whose members have not all confirmed, and when they were.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &(event::Epoch, time::Time)> {
+        self.unconfirmed.iter()
+    }
+
+    /// Takes up the parts that the epoch `number` allows, since nobody uses older
+    /// ones any more.
+    pub fn grow(&mut self, number: u64, now: time::Time) {
+        self.unconfirmed.retain(|(epoch, _)| epoch.number > number);
+        self.grown |= number == self.epoch.number;
         if !self.joined {
             return;
         }
         for part in self.parts.values_mut() {
+            if part.claim.is_none_or(|claim| claim > number) {
+                continue;
+            }
             part.fill(now);
             part.units = part.equal;
+            part.claim = None;
             if part.fresh && !self.polled {
                 part.level = part.level.max(part.cap() / START_PARTS);
             }
@@ -219,12 +244,14 @@
     /// Makes known a budget, or its new limit.
     pub fn configure(&mut self, scarce: Scarce, total: u64, limit: Limit, now: time::Time) {
         let (epoch, own, polled) = (&self.epoch, &self.own, self.polled);
-        let held = self.grown && self.joined;
+        let (held, claim) = (self.grown && self.joined, self.epoch.number);
         let part = self.parts.entry(scarce.clone()).or_insert_with(|| {
             let holders = draw::holders(&scarce, epoch, polled);
             let equal = equal_share(epoch, own, &scarce, total, polled, &holders);
             let units = if held { equal } else { 0 };
-            Part::new(total, equal, units, holders, limit, now)
+            let mut part = Part::new(total, equal, units, holders, limit, now);
+            part.claim = (!held).then_some(claim);
+            part
         });
         part.fill(now);
         part.limit = limit;
--- a/components/kernel/src/budget/part.rs
+++ b/components/kernel/src/budget/part.rs
@@ -37,6 +37,8 @@
     pub(super) pressed: bool,
     /// The last holder that was asked has answered.
     pub(super) answered: bool,
+    /// Epoch that allows this VM its part, while it has not been taken up.
+    pub(super) claim: Option<u64>,
     /// It has never held tokens.
     pub(super) fresh: bool,
 }
@@ -68,6 +70,7 @@
             drawn: (0, time::Time::default()),
             pressed: false,
             answered: false,
+            claim: None,
             fresh: true,
         }
     }
--- a/components/kernel/src/epochs.rs
+++ b/components/kernel/src/epochs.rs
@@ -66,25 +66,38 @@
         });
     }
 
-    /// Takes up the shares of the epoch once nobody can use older ones.
-    pub(crate) fn grow(&mut self) {
-        let number = self.budgets.epoch().number;
-        if number == 0 || self.budgets.is_grown() {
-            return;
+    /// Whether nobody can use shares of before the epoch, which was adopted here
+    /// at `since`.
+    fn is_confirmed(&self, epoch: &event::Epoch, since: time::Time) -> bool {
+        // Whoever has not learnt of the epoch by then refuses all requests.
+        let limit = self.setup.timing.refusal;
+        if self.arbiter == group::Arbiter::Store && self.now.since(since) > limit {
+            return true;
         }
         let own = self.members.own();
-        let confirmed = self.budgets.confirming().all(|holder| {
-            let peer = self.members.peers().get(&holder.vm);
+        let mut runs = epoch.members.iter().chain(&epoch.former);
+        runs.all(|run| {
+            let peer = self.members.peers().get(&run.vm);
             let reached =
-                peer.is_some_and(|p| p.incarnation == holder.incarnation && p.epoch >= number);
-            *holder == own || reached || self.members.is_gone(holder, self.now)
-        });
-        if !confirmed {
+                peer.is_some_and(|p| p.incarnation == run.incarnation && p.epoch >= epoch.number);
+            *run == own || reached || self.members.is_gone(run, self.now)
+        })
+    }
+
+    /// Takes up the shares of an epoch once nobody can use older ones.
+    pub(crate) fn grow(&mut self) {
+        let newest = self
+            .budgets
+            .unconfirmed()
+            .filter(|(epoch, since)| epoch.number > 0 && self.is_confirmed(epoch, *since));
+        let Some(number) = newest.map(|(epoch, _)| epoch.number).max() else {
             return;
-        }
-        self.budgets.grow(self.now);
+        };
+        self.budgets.grow(number, self.now);
         self.resize();
-        self.record_epoch(true);
+        if self.budgets.is_grown() {
+            self.record_epoch(true);
+        }
         self.admit_lanes();
         let groups: Vec<_> = self.pools.keys().cloned().collect();
         for group in groups {
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -261,3 +261,23 @@
     play_restarts(&mut world, 300);
     assert_eq!(world.refused, [], "{:?}", world.log);
 }
+
+#[test]
+fn a_silent_vm_and_further_epochs_put_no_holder_off() {
+    let mut world = limited();
+    let rate = kernel::budget::Scarce::Rate(ruled::name("tienda"));
+    let held = |world: &World, vm: usize| world.kernels[vm].budgets().units(&rate);
+    let (holders, others): (Vec<_>, Vec<_>) = (0..24).partition(|vm| held(&world, *vm) > 0);
+    assert_eq!(holders.len(), 4);
+    // It confirms no epoch, and the VMs that restart later begin one a second.
+    world.cut_peers.insert(others[0]);
+    world.cut_store.insert(others[0]);
+    world.run(ms(100));
+    world.restart(holders[0]);
+    for vm in &others[1..7] {
+        world.run(ms(1000));
+        world.restart(*vm);
+    }
+    // It has joined within a second, and 4.5 s later nobody uses older shares.
+    assert!(held(&world, holders[0]) > 0, "{:?}", world.log);
+}
