Send a statement again over the connection whose instance was busy

An instance with 2 slots and a queue of 16 turns statements away when more connections have one each. The statement now waits on its connection; a read at a replica moves on after 60 ms, and nothing is sent after the grant's right to use the key has ended.

--- a/components/daemon/src/dialogue/held.rs
+++ b/components/daemon/src/dialogue/held.rs
@@ -1,14 +1,19 @@
 //! Connections that a session holds for a statement or a transaction.
 
-use std::time as std_time;
+use std::{thread, time as std_time};
 
 use config::Name;
 use errors::Refusal;
 use kernel::{event, group, position};
 
-use super::Dialogue;
+use super::{Dialogue, RETRY_PAUSE};
 use crate::{links, shell};
 
+/// Longest pause before a statement is sent again to an instance without room.
+const RETRY_PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(60);
+/// Time after which a read goes to another instance than a replica without room.
+const MOVE_PATIENCE: std_time::Duration = std_time::Duration::from_millis(60);
+
 /// A connection held for a statement or a transaction.
 pub(super) struct Held {
     pub(super) link: Box<dyn dialect::Link>,
@@ -16,6 +21,8 @@
     pub(super) instance: Name,
     pub(super) primary: bool,
     pub(super) floor: Option<position::Floor>,
+    /// When the right to use it ends.
+    pub(super) until: kernel::time::Time,
 }
 
 impl Dialogue {
@@ -53,6 +60,7 @@
             instance: grant.instance,
             primary: grant.primary,
             floor: grant.floor,
+            until: grant.until,
         })
     }
 
@@ -106,6 +114,31 @@
         }
     }
 
+    /// Runs a statement, and again over the same connection while the instance has
+    /// no room for it: a new connection would cost it more work than the statement.
+    /// Another instance may serve a read sooner.
+    pub(super) fn run_patiently(
+        &self,
+        held: &mut Held,
+        run: &dialect::Run<'_>,
+        limit: std_time::Duration,
+        deadline: std_time::Instant,
+    ) -> Result<dialect::Reply, dialect::Lost> {
+        let begun = std_time::Instant::now();
+        let mut pause = RETRY_PAUSE;
+        loop {
+            let reply = self.run(held, run, limit)?;
+            let busy = matches!(reply.end, dialect::End::Refused(dialect::Reason::Busy));
+            let end = std_time::Instant::now() + pause;
+            let moves = !held.primary && end >= begun + MOVE_PATIENCE;
+            if !busy || moves || end >= deadline || self.shell.clock.now() + pause >= held.until {
+                return Ok(reply);
+            }
+            thread::sleep(pause);
+            pause = (pause * 2).min(RETRY_PAUSE_LIMIT);
+        }
+    }
+
     /// Tells the kernel which position an instance has reached.
     pub(super) fn observe(&self, held: &Held, sent: kernel::time::Time, reply: &dialect::Reply) {
         if let Some(applied) = reply.applied {
--- a/components/daemon/src/dialogue/mod.rs
+++ b/components/daemon/src/dialogue/mod.rs
@@ -298,7 +298,7 @@
             }
             retry = true;
             let sent = self.shell.clock.now();
-            match self.run(&mut held, &need.run, limit) {
+            match self.run_patiently(&mut held, &need.run, limit, deadline) {
                 Ok(reply) => {
                     self.observe(&held, sent, &reply);
                     match self.retry_outcome(&held, &reply) {
--- a/components/daemon/src/dialogue/transaction.rs
+++ b/components/daemon/src/dialogue/transaction.rs
@@ -147,10 +147,8 @@
             let mut held = self.obtain(links, access, retry, deadline)?;
             retry = true;
             let sent = self.shell.clock.now();
-            match held
-                .link
-                .run(&dialect::Run::Plain(&begin), held.floor, limit)
-            {
+            let begin = dialect::Run::Plain(&begin);
+            match self.run_patiently(&mut held, &begin, limit, deadline) {
                 Ok(reply) if reply.state == dialect::State::Open => {
                     self.observe(&held, sent, &reply);
                     if let Some(transaction) = &mut self.transaction {
