Try an instance that turned connections away by one request at a time

After each pause all waiting requests of a VM tried a full instance at once. The first one now shows whether it has room; the others wait for that.

Test: a_full_instance_is_tried_by_one_request_at_a_time, 9 tries in a second before, at most 4 now (pauses that double from 40 ms).

--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -17,6 +17,7 @@
         let group = granted.group.clone();
         let ruled = self.arbiter == group::Arbiter::Store;
         if let Some(pool) = self.pools.get_mut(&group).filter(|_| ruled) {
+            pool.group.set_tried(&granted.instance, false);
             if outcome == event::Outcome::Unsent {
                 pool.group.failed(&granted.instance, self.now, true);
             }
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -198,6 +198,9 @@
             term,
         };
         self.sessions.granted.insert(request.id, granted);
+        if let Some(pool) = self.pools.get_mut(group) {
+            pool.group.set_tried(instance, true);
+        }
         let session = self.sessions.open.get(&request.session);
         let keyed = session.is_some_and(|session| session.customer.is_some());
         let until = if keyed {
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -65,6 +65,8 @@
     pause: std_time::Duration,
     /// It did not answer at all, and first has to answer a poll.
     unreached: bool,
+    /// A request tries whether they work again.
+    tried: bool,
 }
 
 impl Seen {
--- a/components/kernel/src/group/ruled.rs
+++ b/components/kernel/src/group/ruled.rs
@@ -73,6 +73,7 @@
             until,
             pause,
             unreached,
+            tried: false,
         });
     }
 
@@ -80,7 +81,16 @@
     pub fn is_down(&self, instance: &Name, now: time::Time) -> bool {
         let seen = self.instances.get(instance);
         let down = seen.and_then(|seen| seen.down);
-        down.is_some_and(|down| down.unreached || now < down.until)
+        down.is_some_and(|down| down.unreached || down.tried || now < down.until)
+    }
+
+    /// A request tries an instance whose connections have failed, or no longer
+    /// does; others wait for what comes of it.
+    pub fn set_tried(&mut self, instance: &Name, tried: bool) {
+        let seen = self.instances.get_mut(instance);
+        if let Some(down) = seen.and_then(|seen| seen.down.as_mut()) {
+            down.tried = tried;
+        }
     }
 
     /// The instance has started again, and is as if never used.
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -186,6 +186,24 @@
     assert_eq!(world.acknowledged.len(), 48, "{:?}", world.refused);
 }
 
+#[test]
+fn a_full_instance_is_tried_by_one_request_at_a_time() {
+    let mut world = scarce();
+    world.instances[0].crowded = true;
+    let session = world.session(5, "latest");
+    for _ in 0..5 {
+        world.request(5, session, true);
+    }
+    world.run(ms(50));
+    world.turned_away = 0;
+    world.run(ms(1000));
+    // After pauses that double from 40 ms on.
+    assert!(world.turned_away <= 4, "{}", world.turned_away);
+    world.instances[0].crowded = false;
+    world.run(ms(700));
+    assert_eq!(world.acknowledged.len(), 5, "{:?}", world.refused);
+}
+
 #[test]
 fn silent_members_keep_their_part_while_they_are_listed() {
     let mut world = large();
