Try a statement of a transaction again when its instance was busy

A busy instance has not run the statement, and the transaction stands as it was, but the caller was told that it was refused and had to begin anew. A statement or a commit inside a transaction now waits on its connection like one outside, as long as the key is known to be in force and for the longest wait of a request.

Test: a_busy_instance_does_not_fail_a_transaction, refused as BUSY before.

--- a/components/daemon/src/dialogue/held.rs
+++ b/components/daemon/src/dialogue/held.rs
@@ -11,7 +11,8 @@
 
 /// Longest pause before a statement is sent again to an instance without room.
 const RETRY_PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(60);
-/// Time after which a read goes to another instance than a replica without room.
+/// Time after which a statement goes to another instance than a replica without
+/// room.
 const MOVE_PATIENCE: std_time::Duration = std_time::Duration::from_millis(60);
 
 /// A connection held for a statement or a transaction.
@@ -114,9 +115,17 @@
         }
     }
 
+    /// When a statement that can go elsewhere leaves the instance.
+    pub(super) fn patience(held: &Held, deadline: std_time::Instant) -> std_time::Instant {
+        if held.primary {
+            deadline
+        } else {
+            deadline.min(std_time::Instant::now() + MOVE_PATIENCE)
+        }
+    }
+
     /// Runs a statement, and again over the same connection while the instance has
     /// no room for it: a new connection would cost it more work than the statement.
-    /// Another instance may serve a read sooner.
     pub(super) fn run_patiently(
         &self,
         held: &mut Held,
@@ -124,14 +133,14 @@
         limit: std_time::Duration,
         deadline: std_time::Instant,
     ) -> Result<dialect::Reply, dialect::Lost> {
-        let begun = std_time::Instant::now();
         let mut pause = RETRY_PAUSE;
         loop {
             let reply = self.run(held, run, limit)?;
             let busy = matches!(reply.end, dialect::End::Refused(dialect::Reason::Busy));
-            let end = std_time::Instant::now() + pause;
-            let moves = !held.primary && end >= begun + MOVE_PATIENCE;
-            if !busy || moves || end >= deadline || self.shell.clock.now() + pause >= held.until {
+            let lasting = reply.state != dialect::State::Failed;
+            let in_time = std_time::Instant::now() + pause < deadline
+                && self.shell.clock.now() + pause < held.until;
+            if !(busy && lasting && in_time) {
                 return Ok(reply);
             }
             thread::sleep(pause);
--- a/components/daemon/src/dialogue/mod.rs
+++ b/components/daemon/src/dialogue/mod.rs
@@ -298,7 +298,8 @@
             }
             retry = true;
             let sent = self.shell.clock.now();
-            match self.run_patiently(&mut held, &need.run, limit, deadline) {
+            let patience = Self::patience(&held, deadline);
+            match self.run_patiently(&mut held, &need.run, limit, patience) {
                 Ok(reply) => {
                     self.observe(&held, sent, &reply);
                     match self.retry_outcome(&held, &reply) {
--- a/components/daemon/src/dialogue/transaction.rs
+++ b/components/daemon/src/dialogue/transaction.rs
@@ -90,8 +90,10 @@
         };
         let sent = self.shell.clock.now();
         held.floor = None;
+        held.until = self.usable_until();
+        let deadline = std_time::Instant::now() + self.shell.settings.limits.wait;
         let adapted = held.link.adapt(&self.values, limit);
-        match adapted.and_then(|()| self.run(&mut held, &need.run, limit)) {
+        match adapted.and_then(|()| self.run_patiently(&mut held, &need.run, limit, deadline)) {
             Ok(reply) => {
                 self.observe(&held, sent, &reply);
                 if let Some(transaction) = &mut self.transaction {
@@ -148,7 +150,8 @@
             retry = true;
             let sent = self.shell.clock.now();
             let begin = dialect::Run::Plain(&begin);
-            match self.run_patiently(&mut held, &begin, limit, deadline) {
+            let patience = Self::patience(&held, deadline);
+            match self.run_patiently(&mut held, &begin, limit, patience) {
                 Ok(reply) if reply.state == dialect::State::Open => {
                     self.observe(&held, sent, &reply);
                     if let Some(transaction) = &mut self.transaction {
@@ -171,6 +174,15 @@
         }
     }
 
+    /// End of the time in which the caller's key is known to be in force.
+    fn usable_until(&self) -> kernel::time::Time {
+        if self.customer.is_none() {
+            return kernel::time::Time(u64::MAX);
+        }
+        let until = self.shell.inspect(kernel::Daemon::fresh_until);
+        until.unwrap_or_default()
+    }
+
     pub(super) fn commit(
         &mut self,
         links: &links::Links,
@@ -195,7 +207,10 @@
         };
         let sent = self.shell.clock.now();
         held.floor = None;
-        match self.run(&mut held, &dialect::Run::Plain(call), limit) {
+        held.until = self.usable_until();
+        let deadline = begun + self.shell.settings.limits.wait;
+        let run = dialect::Run::Plain(call);
+        match self.run_patiently(&mut held, &run, limit, deadline) {
             Ok(reply) => {
                 self.observe(&held, sent, &reply);
                 let need = Need {
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -193,6 +193,11 @@
             .is_some_and(|until| until > self.now)
     }
 
+    /// End of the time in which the configuration here is known to be in force.
+    pub fn fresh_until(&self) -> Option<time::Time> {
+        self.members.fresh_until(self.now)
+    }
+
     /// Whether new sessions are welcome.
     pub fn is_ready(&self) -> bool {
         self.lacking().is_none()
