--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -11,6 +11,12 @@
 
 use crate::{event, group, message, time};
 
+/// Time after its first exchange in which a VM exchanges more often: it knows
+/// nothing of the others yet, and they may all have started with it.
+const SETTLING_TIME: std_time::Duration = std_time::Duration::from_secs(3);
+/// Exchanges of that time in a usual period.
+const SETTLING_EXCHANGES: u32 = 4;
+
 /// What is known of another VM.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -62,6 +68,8 @@
     own_listed: bool,
     stored: Option<time::Time>,
     pinged: Option<time::Time>,
+    /// First exchange.
+    begun: Option<time::Time>,
     pub(super) period: std_time::Duration,
     refusal: std_time::Duration,
     pub(super) arbiter: group::Arbiter,
@@ -88,6 +96,7 @@
             own_listed: false,
             stored: None,
             pinged: None,
+            begun: None,
             period: timing.gossip,
             refusal: timing.refusal,
             arbiter,
@@ -149,12 +158,26 @@
 
     /// VMs to ping now, if the period has passed or `at_once` is set.
     pub fn due(&mut self, now: time::Time, at_once: bool) -> Vec<Name> {
-        let passed = self.pinged.is_none_or(|at| now.since(at) >= self.period);
+        let period = self.exchange_period(now);
+        let passed = self.pinged.is_none_or(|at| now.since(at) >= period);
         if !passed && !at_once {
             return Vec::new();
         }
         self.pinged = Some(now);
-        self.targets(now)
+        let targets = self.targets(now);
+        if !targets.is_empty() {
+            self.begun.get_or_insert(now);
+        }
+        targets
+    }
+
+    fn exchange_period(&self, now: time::Time) -> std_time::Duration {
+        let settling = self.begun.is_none_or(|at| now.since(at) < SETTLING_TIME);
+        if self.arbiter == group::Arbiter::Store && settling {
+            self.period / SETTLING_EXCHANGES
+        } else {
+            self.period
+        }
     }
 
     /// Report for an exchange.
