Call no customer over its rate while shares may not have been taken up

A VM of a large fleet draws tokens and cannot see whether a holder has none left or none yet. It told callers that they were over their rate, to come back after the 10 to 25 ms in which a token comes in, and clients had used up their tries long before the holders had their parts. While the newest epoch is not confirmed the refusal now says that the service is not available and names 500 ms.

Test: no_customer_is_called_over_its_rate_before_holders_have_their_parts, OverRate before, Unavailable now.

--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -162,10 +162,11 @@
         self.send_asks();
     }
 
-    /// Refusal of a request without a token. A VM that holds no part of the
-    /// budgets yet cannot tell that the customer is over its rate.
+    /// Refusal of a request without a token. While an epoch is not confirmed, its
+    /// shares may not have been taken up, and nobody can tell that the customer is
+    /// over its rate.
     pub(crate) fn short_of_tokens(&self, wait: Option<std_time::Duration>) -> Refusal {
-        if self.budgets.is_usable() {
+        if self.budgets.is_grown() && self.budgets.is_usable() {
             over_rate(wait)
         } else {
             Refusal::new(Cause::Unavailable, daemon::UNAVAILABLE_RETRY_MS)
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -299,3 +299,19 @@
     // It has joined within a second, and 4.5 s later nobody uses older shares.
     assert!(held(&world, holders[0]) > 0, "{:?}", world.log);
 }
+
+#[test]
+fn no_customer_is_called_over_its_rate_before_holders_have_their_parts() {
+    let mut world = limited();
+    // It may still use the parts of before, and confirms nothing.
+    world.cut_peers.insert(23);
+    world.cut_store.insert(23);
+    for vm in 0..23 {
+        world.restart(vm);
+    }
+    world.run(ms(1500));
+    let session = world.session(5, "keyed");
+    world.request(5, session, false);
+    world.run(ms(500));
+    assert_eq!(world.refused, [errors::Cause::Unavailable]);
+}
