Let a new run take its predecessor's part of the rates

A run on a VM whose earlier run is a holder now takes that place under the same epoch: the process of before has ended. For others such a newer run counts as confirmed once it reports the epoch, or when it registered after the epoch was written, since it reads the rows before it uses anything; a newer run no longer counts as gone by itself. A proposer carries over the newest run of each VM it must hear of.

Tests: a_fleet_that_starts_again_has_its_rates_without_an_exchange, nothing held before, all held now; restarts_never_make_more_of_a_rate_than_there_is (60 restarts, VMs cut off and back) passes before and after.

--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -154,7 +154,7 @@
         self.epoch = epoch.clone();
         self.unconfirmed.push_back((epoch.clone(), now));
         self.grown = false;
-        self.joined = epoch.members.contains(&self.own);
+        self.joined = epoch.members.contains(&self.own) || self.succeeds();
         self.asks.clear();
         self.gives.clear();
         for (scarce, part) in &mut self.parts {
@@ -184,6 +184,16 @@
         true
     }
 
+    /// Whether an earlier run on this VM is a member of an epoch whose rates have
+    /// holders: this run takes its place.
+    fn succeeds(&self) -> bool {
+        let earlier = |member: &event::Member| {
+            member.vm == self.own.vm && member.incarnation < self.own.incarnation
+        };
+        draw::is_drawn(self.epoch.members.len(), self.polled)
+            && self.epoch.members.iter().any(earlier)
+    }
+
     /// Forgets the shares of an earlier run; the next epoch names the new one.
     pub fn restart(&mut self, own: event::Member, now: time::Time) {
         self.own = own;
@@ -498,14 +508,14 @@
     polled: bool,
     holders: &[Name],
 ) -> u64 {
+    if !holders.is_empty() {
+        return draw::part(holders, own, total);
+    }
     let members = u64::try_from(epoch.members.len()).unwrap_or(u64::MAX);
     let Some(rank) = epoch.members.iter().position(|member| member == own) else {
         return 0;
     };
     let rank = u64::try_from(rank).unwrap_or(u64::MAX);
-    if !holders.is_empty() {
-        return draw::part(holders, own, total);
-    }
     let total = match scarce {
         Scarce::Rate(_) => total,
         // Every member polls over a connection of its own, and so does a VM
--- a/components/kernel/src/epochs.rs
+++ b/components/kernel/src/epochs.rs
@@ -76,12 +76,34 @@
         }
         let own = self.members.own();
         let mut runs = epoch.members.iter().chain(&epoch.former);
-        runs.all(|run| {
-            let peer = self.members.peers().get(&run.vm);
-            let reached =
-                peer.is_some_and(|p| p.incarnation == run.incarnation && p.epoch >= epoch.number);
-            *run == own || reached || self.members.is_gone(run, self.now)
-        })
+        runs.all(|run| run.vm == own.vm || self.has_confirmed(run, epoch.number))
+    }
+
+    /// Whether no run on the VM of a member can use shares of before an epoch.
+    fn has_confirmed(&self, run: &event::Member, epoch: u64) -> bool {
+        let current = self.members.current(run);
+        let peer = self.members.peers().get(&run.vm);
+        let reached =
+            peer.is_some_and(|p| p.incarnation == current.incarnation && p.epoch >= epoch);
+        if reached || self.members.is_gone(&current, self.now) {
+            return true;
+        }
+        // A run that takes the place of this one may hold its part of a rate.
+        current != *run
+            && (self.arbiter == group::Arbiter::Instances || self.knows(&current, epoch))
+    }
+
+    /// Whether a run has registered after the epoch was written: it reads the
+    /// epoch before it uses anything.
+    fn knows(&self, run: &event::Member, epoch: u64) -> bool {
+        let Some((written, event::Row::Epoch(row))) = self.view.row(&event::RowKey::Epoch) else {
+            return false;
+        };
+        let registered = self.view.version(&event::RowKey::Member(run.vm.clone()));
+        let entry = self.view.member(&run.vm);
+        // A doubt is written by others.
+        let own = entry.is_some_and(|e| e.incarnation == run.incarnation && !e.doubted);
+        row.number >= epoch && own && registered > *written
     }
 
     /// Takes up the shares of an epoch once nobody can use older ones.
@@ -155,21 +177,25 @@
 
     fn next_epoch(&self, live: Vec<event::Member>) -> event::Epoch {
         let epoch = self.budgets.epoch();
+        let ruled = self.arbiter == group::Arbiter::Store;
         let mut former: Vec<_> = self
             .budgets
             .confirming()
-            .filter(|holder| !live.contains(holder))
-            .filter(|holder| !self.members.is_gone(holder, self.now))
-            .cloned()
+            .map(|run| match self.arbiter {
+                group::Arbiter::Instances => run.clone(),
+                // A newer run may hold the rates of the one that it follows.
+                group::Arbiter::Store => self.members.current(run),
+            })
+            .filter(|run| !live.contains(run))
+            .filter(|run| !self.members.is_gone(run, self.now))
             .collect();
         former.sort();
         former.dedup();
         // Where the store lists the VMs, a member that is silent but listed may be
         // heard again soon, and has to confirm in any case: it keeps its part.
-        let ruled = self.arbiter == group::Arbiter::Store;
         let (kept, former): (Vec<_>, Vec<_>) = former
             .into_iter()
-            .partition(|member| ruled && epoch.members.contains(member));
+            .partition(|former| ruled && epoch.members.iter().any(|m| m.vm == former.vm));
         let mut members = live;
         members.extend(kept);
         members.sort();
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -340,6 +340,19 @@
         Some(at + self.refusal)
     }
 
+    /// The newest known run on the VM of a run.
+    pub fn current(&self, run: &event::Member) -> event::Member {
+        let known = if run.vm == self.vm {
+            self.incarnation
+        } else {
+            self.peers.get(&run.vm).map_or(0, |peer| peer.incarnation)
+        };
+        event::Member {
+            vm: run.vm.clone(),
+            incarnation: run.incarnation.max(known),
+        }
+    }
+
     /// Whether the VM is gone: not listed, and silent for the refusal time.
     pub fn is_gone(&self, member: &event::Member, now: time::Time) -> bool {
         if member.vm == self.vm {
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -315,3 +315,44 @@
     world.run(ms(500));
     assert_eq!(world.refused, [errors::Cause::Unavailable]);
 }
+
+/// Units of the customer's rate that VMs hold that would use them.
+fn usable_units(world: &World) -> u64 {
+    let rate = kernel::budget::Scarce::Rate(ruled::name("tienda"));
+    let usable = world.kernels.iter().filter(|kernel| kernel.is_fresh());
+    usable.map(|kernel| kernel.budgets().units(&rate)).sum()
+}
+
+#[test]
+fn a_fleet_that_starts_again_has_its_rates_without_an_exchange() {
+    let mut world = limited();
+    world.cut_peers.extend(0..24);
+    for vm in 0..24 {
+        world.restart(vm);
+    }
+    world.run(ms(1500));
+    assert_eq!(usable_units(&world), kernel::budget::RATE_UNITS);
+}
+
+#[test]
+fn restarts_never_make_more_of_a_rate_than_there_is() {
+    let mut world = limited();
+    for round in 0..60_usize {
+        // Steps that are prime to 24 visit all VMs; some are cut off for a while.
+        world.restart(round * 7 % 24);
+        if round % 3 == 0 {
+            let vm = round * 5 % 24;
+            world.cut_peers.insert(vm);
+            world.cut_store.insert(vm);
+        }
+        if round % 7 == 6 {
+            world.cut_peers.clear();
+            world.cut_store.clear();
+        }
+        for _ in 0..20 {
+            world.run(ms(15));
+            let units = usable_units(&world);
+            assert!(units <= kernel::budget::RATE_UNITS, "{units} in {round}");
+        }
+    }
+}
