--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -154,7 +154,7 @@
         self.epoch = epoch.clone();
         self.unconfirmed.push_back((epoch.clone(), now));
         self.grown = false;
-        self.joined = epoch.members.contains(&self.own) || self.succeeds();
+        self.joined = epoch.members.contains(&self.own) || self.follows_a_member();
         self.asks.clear();
         self.gives.clear();
         for (scarce, part) in &mut self.parts {
@@ -185,8 +185,8 @@
     }
 
     /// Whether an earlier run on this VM is a member of an epoch whose rates have
-    /// holders: this run takes its place.
-    fn succeeds(&self) -> bool {
+    /// holders: its process has ended, and this run takes its place.
+    fn follows_a_member(&self) -> bool {
         let earlier = |member: &event::Member| {
             member.vm == self.own.vm && member.incarnation < self.own.incarnation
         };
--- a/components/kernel/src/budget/room.rs
+++ b/components/kernel/src/budget/room.rs
@@ -7,6 +7,8 @@
 //! request needs it, keeps no more idle ones than its equal part, and leaves the
 //! instance alone for a while when that turns a connection away.
 
+use config::Name;
+
 use super::{Budgets, SHARED_MEMBERS, Scarce};
 
 /// Equal parts that one VM may have open: at any moment few VMs have requests
@@ -43,7 +45,7 @@
 
 impl Budgets {
     /// Connections to the instance that this VM may hold.
-    pub fn room(&self, instance: &config::Name) -> Room {
+    pub fn room(&self, instance: &Name) -> Room {
         let Some(part) = self.parts.get(&Scarce::Connections(instance.clone())) else {
             return Room::default();
         };
--- a/components/kernel/src/epochs.rs
+++ b/components/kernel/src/epochs.rs
@@ -90,12 +90,13 @@
         }
         // A run that takes the place of this one may hold its part of a rate.
         current != *run
-            && (self.arbiter == group::Arbiter::Instances || self.knows(&current, epoch))
+            && (self.arbiter == group::Arbiter::Instances
+                || self.has_registered_since(&current, epoch))
     }
 
     /// Whether a run has registered after the epoch was written: it reads the
     /// epoch before it uses anything.
-    fn knows(&self, run: &event::Member, epoch: u64) -> bool {
+    fn has_registered_since(&self, run: &event::Member, epoch: u64) -> bool {
         let Some((written, event::Row::Epoch(row))) = self.view.row(&event::RowKey::Epoch) else {
             return false;
         };
