Ask in one place whether connections are open and until when keys hold

The check that a budget is one of connections stood beside two of three calls of room::is_open, and the end of the known configuration was worked out in four places.

--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -359,7 +359,9 @@
         let held = |(scarce, part): (&Scarce, &Part)| match scarce {
             Scarce::Rate(_) => part.units > 0,
             Scarce::Connections(_) => {
-                part.units > 0 || part.equal == 0 || room::is_open(part.total, members, self.polled)
+                part.units > 0
+                    || part.equal == 0
+                    || room::is_open(scarce, part.total, members, self.polled)
             }
         };
         self.grown && self.parts.iter().all(held)
@@ -399,9 +401,7 @@
         }
         let members = self.epoch.members.len();
         for (scarce, part) in &mut self.parts {
-            let open = matches!(scarce, Scarce::Connections(_))
-                && room::is_open(part.total, members, self.polled);
-            if open || !part.holders.is_empty() {
+            if room::is_open(scarce, part.total, members, self.polled) || !part.holders.is_empty() {
                 continue;
             }
             if matches!(scarce, Scarce::Rate(_)) {
@@ -440,8 +440,7 @@
         }
         let members = self.epoch.members.len();
         let part = self.parts.get_mut(&ask.scarce)?;
-        let connections = matches!(ask.scarce, Scarce::Connections(_));
-        if connections && room::is_open(part.total, members, self.polled) {
+        if room::is_open(&ask.scarce, part.total, members, self.polled) {
             return None;
         }
         part.fill(now);
--- a/components/kernel/src/budget/room.rs
+++ b/components/kernel/src/budget/room.rs
@@ -38,18 +38,19 @@
 
 /// Whether an instance judges by itself who may connect. VMs that poll over
 /// connections of their own, `polled`, need theirs set aside.
-pub(super) fn is_open(total: u64, members: usize, polled: bool) -> bool {
+pub(super) fn is_open(scarce: &Scarce, total: u64, members: usize, polled: bool) -> bool {
     let few = u64::try_from(members).is_ok_and(|members| total < members);
-    !polled && (members > SHARED_MEMBERS || few)
+    matches!(scarce, Scarce::Connections(_)) && !polled && (members > SHARED_MEMBERS || few)
 }
 
 impl Budgets {
     /// Connections to the instance that this VM may hold.
     pub fn room(&self, instance: &Name) -> Room {
-        let Some(part) = self.parts.get(&Scarce::Connections(instance.clone())) else {
+        let scarce = Scarce::Connections(instance.clone());
+        let Some(part) = self.parts.get(&scarce) else {
             return Room::default();
         };
-        if !is_open(part.total, self.epoch.members.len(), self.polled) {
+        if !is_open(&scarce, part.total, self.epoch.members.len(), self.polled) {
             return Room::of(part.units, part.units);
         }
         let members = u64::try_from(self.epoch.members.len()).unwrap_or(u64::MAX);
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -188,9 +188,7 @@
 
     /// Whether keyed requests are accepted now.
     pub fn is_fresh(&self) -> bool {
-        self.members
-            .fresh_until(self.now)
-            .is_some_and(|until| until > self.now)
+        self.fresh_until().is_some_and(|until| until > self.now)
     }
 
     /// End of the time in which the configuration here is known to be in force.
@@ -409,7 +407,7 @@
             return;
         }
         self.refused = !fresh;
-        let until = self.members.fresh_until(self.now).unwrap_or_default();
+        let until = self.fresh_until().unwrap_or_default();
         let silent = self.now.since(until.before(self.setup.timing.refusal));
         self.record(journal::Decision::Freshness {
             refused: !fresh,
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -204,7 +204,7 @@
         let session = self.sessions.open.get(&request.session);
         let keyed = session.is_some_and(|session| session.customer.is_some());
         let until = if keyed {
-            self.members.fresh_until(self.now).unwrap_or_default()
+            self.fresh_until().unwrap_or_default()
         } else {
             time::Time(u64::MAX)
         };
--- a/components/kernel/src/epochs.rs
+++ b/components/kernel/src/epochs.rs
@@ -182,10 +182,13 @@
         let mut former: Vec<_> = self
             .budgets
             .confirming()
-            .map(|run| match self.arbiter {
-                group::Arbiter::Instances => run.clone(),
-                // A newer run may hold the rates of the one that it follows.
-                group::Arbiter::Store => self.members.current(run),
+            .map(|run| {
+                if ruled {
+                    // A newer run may hold the rates of the one that it follows.
+                    self.members.current(run)
+                } else {
+                    run.clone()
+                }
             })
             .filter(|run| !live.contains(run))
             .filter(|run| !self.members.is_gone(run, self.now))
