--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{position, time};
+use crate::{position, time, view};
 
 /// Maximum number of entries kept.
 const CAPACITY: usize = 512;
@@ -131,6 +131,17 @@
         /// What happened and why.
         note: crate::handover::Note,
     },
+    /// A read of the store returned a state older than the known one, and was
+    /// discarded.
+    #[display("{part} of the store at version {version} discarded: version {known} is known")]
+    OlderRead {
+        /// Part that was read.
+        part: view::Part,
+        /// Version of the store in the answer.
+        version: u64,
+        /// Known version.
+        known: u64,
+    },
     /// Requests of one customer were refused.
     #[display("{count} requests of {customer} refused: {cause}")]
     Refusals {
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -30,6 +30,8 @@
     doubts: collections::BTreeMap<Name, (u64, time::Time)>,
     /// Start of each instance, in Unix milliseconds.
     start_times: collections::BTreeMap<Name, u64>,
+    /// Parts whose last read returned an older state than the known one.
+    older_reads: collections::BTreeSet<view::Part>,
 }
 
 impl State {
@@ -57,6 +59,7 @@
 impl daemon::Daemon {
     pub(crate) fn apply_view_update(&mut self, update: view::Update) {
         let part = update.part;
+        self.record_older_read(&update);
         let changed = self.view.apply(update, self.now);
         match part {
             view::Part::Configuration | view::Part::Instances if changed => self.apply_config(),
@@ -74,6 +77,22 @@
         self.refresh_assignments();
     }
 
+    /// Records the first of successive reads that return an older state.
+    fn record_older_read(&mut self, update: &view::Update) {
+        let known = self.view.known_version(update.part);
+        let Some(known) = known.filter(|known| update.version < *known) else {
+            self.store_watch.older_reads.remove(&update.part);
+            return;
+        };
+        if self.store_watch.older_reads.insert(update.part) {
+            self.record_decision(journal::Decision::OlderRead {
+                part: update.part,
+                version: update.version,
+                known,
+            });
+        }
+    }
+
     /// Drops instances whose entries lapsed too long ago.
     pub(crate) fn drop_lapsed(&mut self) {
         if self.view.drop_lapsed(self.now) {
--- a/components/store/src/client.rs
+++ b/components/store/src/client.rs
@@ -1,9 +1,10 @@
 //! Blocking HTTP client for the platform's services and for the daemons' admin
 //! endpoints.
 
-use std::time;
+use std::{str, time};
 
 use serde::{Serialize, de};
+use ureq::http;
 
 use crate::failure;
 
@@ -17,9 +18,15 @@
     pub status: u16,
     /// Whole body.
     pub body: Vec<u8>,
+    headers: http::HeaderMap,
 }
 
 impl Response {
+    /// Value of a header, parsed; none if it is absent or cannot be parsed.
+    pub fn header<T: str::FromStr>(&self, name: &str) -> Option<T> {
+        self.headers.get(name)?.to_str().ok()?.parse().ok()
+    }
+
     /// Parses the body as JSON.
     pub fn json<T: de::DeserializeOwned>(&self) -> Result<T, failure::Failure> {
         serde_json::from_slice(&self.body).map_err(|_| failure::Failure::Malformed)
@@ -99,18 +106,23 @@
 }
 
 fn read_response(
-    response: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    response: Result<http::Response<ureq::Body>, ureq::Error>,
 ) -> Result<Response, failure::Failure> {
     let mut response = response.map_err(|error| {
         log::debug!("HTTP request failed: {error}");
         failure::Failure::Unavailable
     })?;
     let status = response.status().as_u16();
+    let headers = std::mem::take(response.headers_mut());
     let body = response
         .body_mut()
         .with_config()
         .limit(u64::MAX)
         .read_to_vec();
     let body = body.map_err(|_| failure::Failure::Unavailable)?;
-    Ok(Response { status, body })
+    Ok(Response {
+        status,
+        body,
+        headers,
+    })
 }
