--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -284,7 +284,11 @@
     fn handle_loaded_head(&mut self, loaded: event::LoadOutcome, answered: bool) {
         self.control.head_read.finish(answered);
         let step = self.revisions.handle_loaded(self.now, &loaded);
-        if let event::LoadOutcome::Found(_, event::Row::Head(head)) = loaded {
+        if let event::LoadOutcome::Found(version, event::Row::Head(head)) = loaded {
+            if head.revision < self.revision() && !self.revisions.has_submissions() {
+                let head = event::ConfigHead::clone(self.revisions.head());
+                self.restore_row(version, event::Row::Head(head));
+            }
             self.adopt_head(sync::Arc::new(head), journal::RevisionSource::Store);
         }
         if let Some(step) = step {
@@ -298,6 +302,11 @@
         match loaded {
             event::LoadOutcome::Found(version, event::Row::Epoch(epoch)) => {
                 self.control.epoch_version = Some(version);
+                let known = self.budgets.epoch();
+                if self.arbiter == group::Arbiter::Instances && epoch.number < known.number {
+                    let row = event::Row::Epoch(known.clone());
+                    self.restore_row(version, row);
+                }
                 self.adopt_epoch(&epoch);
             }
             event::LoadOutcome::Missing => self.control.epoch_version = Some(0),
@@ -305,6 +314,17 @@
         }
     }
 
+    /// Writes a row again that the store has in an older state, if this VM is the first
+    /// live one.
+    fn restore_row(&mut self, version: u64, row: event::Row) {
+        let live = self.members.live_members(self.now);
+        let is_first = live.first() == Some(&self.members.own_member());
+        if is_first && self.members.has_quorum(self.now) {
+            self.record_decision(journal::Decision::RowsRestored { rows: 1 });
+            self.store_row(version, row);
+        }
+    }
+
     pub(crate) fn handle_stored(&mut self, key: &event::RowKey, stored: event::StoreOutcome) {
         match key {
             event::RowKey::Member(vm) if *vm == self.setup.vm => {
--- a/components/kernel/src/revision.rs
+++ b/components/kernel/src/revision.rs
@@ -204,6 +204,12 @@
                 return None;
             }
         };
+        // A store that came back from an older copy lacks the latest notes.
+        let head = if head.revision < self.head.revision {
+            event::ConfigHead::clone(&self.head)
+        } else {
+            head
+        };
         if let Some(revision) = accepted_revision(&head, &front.note.id) {
             return self.start_rollout(revision, now);
         }
--- a/components/kernel/tests/instance_arbiter/mod.rs
+++ b/components/kernel/tests/instance_arbiter/mod.rs
@@ -14,7 +14,7 @@
 use std::{collections, sync, time as std_time};
 
 use config::Name;
-use kernel::{Daemon, Setup, event, message, position, time};
+use kernel::{Daemon, Setup, event, message, position, time, version};
 
 /// Resolution of the virtual clock, and the one-way delay of a message.
 const STEP: std_time::Duration = std_time::Duration::from_millis(1);
@@ -95,6 +95,9 @@
     pub admitted_at: Vec<time::Time>,
     pub outcomes: Vec<String>,
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
+    /// Number of times that the store has come back from a copy.
+    era: u64,
+    copied_rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
     deliveries: delay_queue::Queue<Delivery>,
     pending: collections::BTreeMap<event::RequestId, PendingRequest>,
     acked_positions: Vec<position::Position>,
@@ -251,6 +254,8 @@
             admitted_at: Vec::new(),
             outcomes: Vec::new(),
             rows: collections::BTreeMap::new(),
+            era: 0,
+            copied_rows: collections::BTreeMap::new(),
             deliveries: delay_queue::Queue::default(),
             pending: collections::BTreeMap::new(),
             acked_positions: Vec::new(),
@@ -628,30 +633,48 @@
         caller.token = caller.token.max(Some(floor));
     }
 
+    /// Copies the rows of the store.
+    pub fn copy_store(&mut self) {
+        self.copied_rows.clone_from(&self.rows);
+    }
+
+    /// Returns the store to the copy, and starts a new era.
+    pub fn restore_store(&mut self) {
+        self.rows.clone_from(&self.copied_rows);
+        self.era += 1;
+    }
+
+    /// Version of a row's number in the present era.
+    fn version(&self, number: u64) -> u64 {
+        let version = version::Version::try_from((self.era, number));
+        version.expect("the number is in range").into()
+    }
+
     fn load_row(&mut self, vm: usize, key: &event::RowKey) -> event::LoadOutcome {
         if self.store_down || self.cut_store.contains(&vm) {
             return event::LoadOutcome::Unavailable;
         }
         match self.rows.get(key) {
-            Some((version, row)) => event::LoadOutcome::Found(*version, row.clone()),
+            Some((number, row)) => event::LoadOutcome::Found(self.version(*number), row.clone()),
             None => event::LoadOutcome::Missing,
         }
     }
 
     fn store_row(&mut self, vm: usize, version: u64, row: event::Row) {
         let key = row.key();
-        let current = self.rows.get(&key).map_or(0, |(version, _)| *version);
+        let number = self.rows.get(&key).map_or(0, |(number, _)| *number);
+        let current = if number == 0 { 0 } else { self.version(number) };
         let outcome = if self.store_down || self.cut_store.contains(&vm) {
             event::StoreOutcome::Unknown
         } else if current != version {
             event::StoreOutcome::Conflict
         } else {
-            self.rows.insert(key.clone(), (version + 1, row));
+            self.rows.insert(key.clone(), (number + 1, row));
             if self.lose_answers > 0 {
                 self.lose_answers -= 1;
                 event::StoreOutcome::Unknown
             } else {
-                event::StoreOutcome::Written(version + 1)
+                event::StoreOutcome::Written(self.version(number + 1))
             }
         };
         self.schedule(
--- a/components/kernel/tests/scenarios.rs
+++ b/components/kernel/tests/scenarios.rs
@@ -183,6 +183,12 @@
     if has_argument(case, "down") {
         sim.store_down = true;
     }
+    if has_argument(case, "copy") {
+        sim.copy_store();
+    }
+    if has_argument(case, "restore") {
+        sim.restore_store();
+    }
     if has_argument(case, "up") {
         sim.store_down = false;
     }
@@ -250,6 +256,17 @@
             );
         }
     }
+    if has_argument(case, "customers") {
+        for (vm, daemon) in sim.daemons.iter().enumerate() {
+            let names: Vec<_> = daemon
+                .fleet()
+                .customers
+                .keys()
+                .map(ToString::to_string)
+                .collect();
+            let _ = writeln!(out, "vm-{vm}: {}", names.join(" "));
+        }
+    }
     if has_argument(case, "units") {
         let rate = sim.rate_units();
         let connections = sim.connection_units(0);
--- a/components/standin/src/platform.rs
+++ b/components/standin/src/platform.rs
@@ -35,11 +35,17 @@
 
 #[derive(Debug, Default)]
 struct Tables {
+    /// Number of times that the service has come back from a copy.
+    era: u64,
     rows: collections::BTreeMap<String, Row>,
     vms: Vec<Vm>,
     next: Option<(time::Instant, Vec<Vm>)>,
 }
 
+/// Rows of a service at one moment.
+#[derive(Clone, Debug)]
+pub struct RowsCopy(collections::BTreeMap<String, Row>);
+
 /// A running service.
 pub struct Platform {
     server: tiny_http::Server,
@@ -108,6 +114,18 @@
         }
     }
 
+    /// Copies the rows.
+    pub fn copy(&self) -> RowsCopy {
+        RowsCopy(instance::lock(&self.tables).rows.clone())
+    }
+
+    /// Returns to a copy and starts a new era: what was written since is lost.
+    pub fn restore(&self, copy: &RowsCopy) {
+        let mut tables = instance::lock(&self.tables);
+        tables.rows.clone_from(&copy.0);
+        tables.era += 1;
+    }
+
     /// Reads and writes answered so far.
     pub fn counts(&self) -> (u64, u64) {
         let load = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
@@ -131,7 +149,7 @@
 
     fn answer(&self, mut request: tiny_http::Request) {
         if self.down.load(atomic::Ordering::SeqCst) {
-            respond(request, 503, "{}");
+            self.respond(request, 503, "{}");
             return;
         }
         let url = request.url().to_string();
@@ -152,7 +170,16 @@
         } else {
             (code, text)
         };
-        respond(request, code, &text);
+        self.respond(request, code, &text);
+    }
+
+    fn respond(&self, request: tiny_http::Request, code: u16, text: &str) {
+        let era = instance::lock(&self.tables).era.to_string();
+        let mut response = tiny_http::Response::from_string(text).with_status_code(code);
+        if let Ok(era) = tiny_http::Header::from_bytes("Store-Era", era) {
+            response.add_header(era);
+        }
+        let _ = request.respond(response);
     }
 
     fn loses(&self) -> bool {
@@ -197,8 +224,3 @@
         serde_json::to_string(&tables.vms).unwrap_or_default()
     }
 }
-
-fn respond(request: tiny_http::Request, code: u16, text: &str) {
-    let response = tiny_http::Response::from_string(text).with_status_code(code);
-    let _ = request.respond(response);
-}
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -1,14 +1,17 @@
 //! Store plug-in for `http://` URLs: `GET` and `PUT` of `/rows/KEY`, `GET /vms`.
 //!
-//! This HTTP interface writes one row per request and cannot remove rows.
+//! This HTTP interface writes one row per request and cannot remove rows. A service
+//! that may come back from an older copy states its era in the header `Store-Era`.
 
-use std::time;
+use std::{sync::atomic, time};
 
-use kernel::event;
+use kernel::{event, version};
 use serde::{Deserialize, Serialize, de};
 
 use crate::{client, failure, service};
 
+/// Header that states the service's era.
+const ERA_HEADER: &str = "Store-Era";
 /// Limit for one request, from connecting to the end of the response.
 const TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
@@ -34,6 +37,8 @@
 /// [`service::Service`] over HTTP.
 pub struct Http {
     client: client::Client,
+    /// Latest era that an answer has stated.
+    era: atomic::AtomicU64,
 }
 
 impl Http {
@@ -41,13 +46,29 @@
     pub fn new(url: &str) -> Self {
         Self {
             client: client::Client::new(url),
+            era: atomic::AtomicU64::new(0),
         }
     }
 
-    fn get<T: de::DeserializeOwned>(&self, path: &str) -> Result<Option<T>, failure::Failure> {
+    /// Reads the era from a response, and logs a new one.
+    fn observe_era(&self, response: &client::Response) -> u64 {
+        let era = response.header(ERA_HEADER).unwrap_or_default();
+        let previous = self.era.fetch_max(era, atomic::Ordering::SeqCst);
+        if era > previous {
+            log::info!(era, previous; "the store has started a new era");
+        }
+        era
+    }
+
+    /// Reads a value and the era in which it was read.
+    fn get<T: de::DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<Option<(u64, T)>, failure::Failure> {
         let response = self.client.get(path, TIMEOUT)?;
+        let era = self.observe_era(&response);
         match response.status {
-            200 => response.json().map(Some),
+            200 => response.json().map(|value| Some((era, value))),
             404 => Ok(None),
             _ => Err(failure::Failure::Unavailable),
         }
@@ -58,7 +79,10 @@
     fn load(&self, key: &event::RowKey) -> event::LoadOutcome {
         let row = self.get::<Versioned<event::Row>>(&format!("/rows/{key}"));
         match row {
-            Ok(Some(row)) => event::LoadOutcome::Found(row.version, row.value),
+            Ok(Some((era, row))) => match pack_version(era, row.version) {
+                Ok(version) => event::LoadOutcome::Found(version, row.value),
+                Err(_) => event::LoadOutcome::Unavailable,
+            },
             Ok(None) => event::LoadOutcome::Missing,
             Err(_) => event::LoadOutcome::Unavailable,
         }
@@ -81,25 +105,45 @@
             log::error!("the HTTP store cannot remove row {key}");
             return event::StoreOutcome::Conflict;
         };
+        let expected = version::Version::from(*version);
+        let latest = self.era.load(atomic::Ordering::SeqCst);
+        if expected.number() != 0 && expected.era() < latest {
+            log::info!(era = expected.era(), latest; "a write of an earlier era is not sent");
+            return event::StoreOutcome::Conflict;
+        }
         let body = Versioned {
-            version: *version,
+            version: expected.number(),
             value: row,
         };
         let Ok(response) = self.client.put(&format!("/rows/{key}"), &body, TIMEOUT) else {
             return event::StoreOutcome::Unknown;
         };
+        let era = self.observe_era(&response);
         match response.status {
+            200 if expected.number() != 0 && era != expected.era() => {
+                log::warn!(era; "the store was restored before it made a write");
+                event::StoreOutcome::Unknown
+            }
             200 => response
                 .json::<WriteResponse>()
-                .map_or(event::StoreOutcome::Unknown, |response| {
-                    event::StoreOutcome::Written(response.version)
-                }),
+                .and_then(|response| pack_version(era, response.version))
+                .map_or(event::StoreOutcome::Unknown, event::StoreOutcome::Written),
             409 => event::StoreOutcome::Conflict,
             _ => event::StoreOutcome::Unknown,
         }
     }
 
     fn list_vms(&self) -> Result<Vec<event::Vm>, failure::Failure> {
-        self.get("/vms")?.ok_or(failure::Failure::Malformed)
+        let listed = self.get("/vms")?;
+        let (_, vms) = listed.ok_or(failure::Failure::Malformed)?;
+        Ok(vms)
     }
 }
+
+fn pack_version(era: u64, number: u64) -> Result<u64, failure::Failure> {
+    let version = version::Version::try_from((era, number));
+    version.map(u64::from).map_err(|error| {
+        log::error!("cannot use an answer of the store: {error}");
+        failure::Failure::Malformed
+    })
+}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -321,6 +321,40 @@
     });
 }
 
+// The store comes back from a copy that lacks the first note.
+#[test]
+fn a_note_in_force_survives_a_restored_store() {
+    let mut cluster = testbed::Cluster::start(testbed::Plan::small().for_fault_tests())
+        .expect("the cluster starts");
+    let note = |name: &str| {
+        format!("note: note-{name}\nadded:\n  customers: [{{name: {name}, rate: 10, burst: 10}}]\n")
+    };
+    let copy = cluster.platform.copy();
+    let first = cluster.apply_note(&note("hotel"));
+    assert_eq!(first.expect("the note is in force"), 2);
+    cluster.platform.set_down(true);
+    cluster.platform.restore(&copy);
+    cluster.platform.set_down(false);
+    let second = cluster.apply_note(&note("school"));
+    assert_eq!(second.expect("the note is in force"), 3);
+    // A daemon that starts now learns both notes.
+    cluster.kill_vm(2);
+    let added = cluster.add_vm(cluster.plan().vms[2].clone());
+    let added = added.expect("the daemon starts");
+    cluster.publish_vms(time::Duration::ZERO);
+    let knows_both = |cluster: &testbed::Cluster| {
+        [0, 1, added].into_iter().all(|vm| {
+            cluster.daemon(vm).inspect(|kernel| {
+                let customers = &kernel.fleet().customers;
+                ["hotel", "school"]
+                    .iter()
+                    .all(|name| customers.contains_key(*name))
+            })
+        })
+    };
+    assert!(cluster.wait_until(WAIT_LIMIT, knows_both));
+}
+
 #[test]
 fn graceful_stop_interrupts_no_request() {
     let mut cluster = testbed::Cluster::start(testbed::Plan::small().for_fault_tests())
