--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -77,15 +77,17 @@
     let copy = sim.store.copy();
     restore(&mut sim, copy, 500);
     sim.run(ms(500));
-    // The answer of the first era to a read that took 5 s to arrive.
-    let outdated = kernel::view::Update {
-        part: kernel::view::Part::Rows,
-        proven_at: sim.now + ms(60_000),
-        version: u64::MAX >> 30,
-        whole: true,
-        changes: Vec::new(),
-    };
-    sim.dispatch(0, event::Event::ViewUpdated(outdated));
+    // Answers of the first era that arrive late.
+    for part in kernel::view::PARTS {
+        let outdated = kernel::view::Update {
+            part,
+            proven_at: sim.now + ms(60_000),
+            version: u64::MAX >> 30,
+            whole: false,
+            changes: Vec::new(),
+        };
+        sim.dispatch(0, event::Event::ViewUpdated(outdated));
+    }
     let all = 0..sim.daemons.len();
     sim.cut_store.extend(all);
     sim.run(ms(6000));
@@ -172,6 +174,36 @@
     }
 }
 
+#[test]
+fn a_claim_of_an_earlier_era_orders_no_promotion() {
+    let mut sim = Simulation::new(&Options::default());
+    write_for(&mut sim, 500);
+    let copy = sim.store.copy();
+    // The claiming VM has to wait out the view of a silent VM.
+    sim.paused.insert(2);
+    sim.instances[0].is_alive = false;
+    write_for(&mut sim, 1200);
+    assert!(
+        sim.has_decision("claimed with token"),
+        "{:?}",
+        sim.decisions
+    );
+    assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
+    restore(&mut sim, copy, 200);
+    write_for(&mut sim, 5000);
+    assert!(!sim.promotion_orders.is_empty(), "{:?}", sim.decisions);
+    for (token, _) in &sim.promotion_orders {
+        assert_eq!(
+            version::Version::from(*token).era(),
+            1,
+            "{:?}",
+            sim.decisions
+        );
+    }
+    assert!(sim.leader().is_some_and(|leader| leader != 0));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_vm_that_registered_after_the_copy_stays_in_service() {
     let mut sim = Simulation::new(&Options::default());
