Pause and log when a connection cannot be accepted

Without a free descriptor it would have taken a whole core and said nothing. A failure is now logged once until connections are accepted again, and followed by a pause of 20 ms.

Ruled out as the cause of the failing tests: their process has 1,886 of 20,000 descriptors. With 1,024 ten of thirteen tests fail in the same way (NoMajority), so scarce descriptors look like it, but are not it.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -8,7 +8,9 @@
 
 use kernel::{event, view};
 
-use crate::{admin, clock, dialect_session, failure, platform, runtime, session, tls, workers};
+use crate::{
+    accept, admin, clock, dialect_session, failure, platform, runtime, session, tls, workers,
+};
 
 /// Time limit of the last calls to the platform when the daemon stops.
 const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(500);
@@ -157,9 +159,9 @@
         let closed = self.closed.clone();
         let workers = self.workers.clone();
         thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
+            accept::each(listener.incoming(), |socket| {
                 if closed.load(atomic::Ordering::SeqCst) {
-                    return;
+                    return false;
                 }
                 let (runtime, tls) = (runtime.clone(), tls.clone());
                 let serve = move || {
@@ -174,7 +176,8 @@
                 if let Err(error) = workers.run(Box::new(serve)) {
                     log::warn!("cannot start a thread for the session: {error}");
                 }
-            }
+                true
+            });
         });
     }
 
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! the actions that the kernel returns. All decisions are made in the kernel,
 //! none in this crate.
 
+pub mod accept;
 mod admin;
 mod clock;
 mod daemon;
