Run at most four test clusters at once; what the failing tests wait for

Samples of the threads in uninterruptible waits, up to 101 at once: munmap 204, exit 72, madvise 42, page faults 24, expand_files 36; none in disk or network. That is the lock on the address space and the table of descriptors of one process with 1,600 threads, which explains a high load average with little pressure on processors. Ruled out: descriptors, ports, processor time (passes at a pressure of 89%).

At most four clusters run in a process now, in place of eight.

--- a/components/testbed/src/cluster.rs
+++ b/components/testbed/src/cluster.rs
@@ -5,7 +5,7 @@
 use config::Name;
 use kernel::event;
 
-use crate::{failure, plan};
+use crate::{failure, permit, plan};
 
 /// Limit for every daemon to become ready with the initial configuration.
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -32,6 +32,7 @@
     plan: plan::Plan,
     vms: Vec<Vm>,
     instance_links: Vec<Vec<net::SocketAddr>>,
+    _permit: permit::Permit,
 }
 
 fn site(domain: &str, region: &str) -> standin::Site {
@@ -57,6 +58,7 @@
 
     /// Starts all parts, but applies no release note.
     pub fn start_unconfigured(plan: plan::Plan) -> Result<Self, failure::Failure> {
+        let permit = permit::Permit::acquire();
         let network =
             standin::Network::new(plan.domain_delay, plan.region_delay, plan.region_bandwidth);
         let platform = standin::Platform::start()?;
@@ -67,6 +69,7 @@
             vms: Vec::new(),
             instance_links: Vec::new(),
             plan,
+            _permit: permit,
         };
         cluster.start_groups()?;
         for index in 0..cluster.plan.vms.len() {
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod cluster;
 mod failure;
+mod permit;
 mod plan;
 
 pub use cluster::Cluster;
