--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -281,6 +281,28 @@
     assert_eq!(sim.store.row(&key), None, "{:?}", sim.decisions);
 }
 
+#[test]
+fn rows_lost_by_the_store_outlast_another_full_read() {
+    let version = |era, number| version::Version::try_from((era, number)).expect("in range");
+    let mut view = kernel::view::View::default();
+    let mut read = |era, number, changes| {
+        let update = kernel::view::Update {
+            part: kernel::view::Part::Rows,
+            proven_at: kernel::time::Time::from_ms(1),
+            version: version(era, number).into(),
+            whole: true,
+            changes,
+        };
+        view.apply(update, kernel::time::Time::from_ms(1));
+        view.row(&event::RowKey::Epoch).is_some()
+    };
+    let row = event::Row::Epoch(event::Epoch::default());
+    let epoch = kernel::view::Change::Row(row.key(), Some((version(1, 5).into(), row)));
+    assert!(read(1, 5, vec![epoch]));
+    assert!(read(2, 4, Vec::new()));
+    assert!(read(2, 4, Vec::new()));
+}
+
 // Reads and writes after the restore must not grow with the fleet.
 #[test]
 fn a_restore_in_a_large_region_causes_few_calls() {
