--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -21,6 +21,7 @@
     pub(super) instance: Name,
     pub(super) is_primary: bool,
     pub(super) floor: Option<position::Position>,
+    pub(super) basis: event::ReadBasis,
     /// Time after which no statement may start on the connection.
     pub(super) valid_until: kernel::time::Time,
 }
@@ -60,6 +61,7 @@
             instance: grant.instance,
             is_primary: grant.primary,
             floor: grant.floor,
+            basis: grant.basis,
             valid_until: grant.deadline,
         })
     }
@@ -155,6 +157,47 @@
         }
     }
 
+    /// Logs what a read rested on and what the instance answered. Reads that were
+    /// delayed or sent again are logged at a higher level than ordinary ones.
+    pub(super) fn log_read(
+        &self,
+        id: &str,
+        connection: &Connection,
+        sent: kernel::time::Time,
+        start: kernel::time::Time,
+        reply: &dialect::Reply,
+    ) {
+        let now = self.runtime.clock.now();
+        let level = if now.since(start) < group::STATEMENT_DELAY {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        if !log::log_enabled!(level) {
+            return;
+        }
+        let position = |position: Option<position::Position>| {
+            position.map_or("-".to_string(), |position| position.to_string())
+        };
+        let basis = &connection.basis;
+        let leader = basis.leader.as_ref().map_or("-", |leader| leader);
+        let source = basis
+            .sample
+            .as_ref()
+            .map_or("-".to_string(), |sample| sample.source.to_string());
+        let age_ms = basis
+            .sample
+            .as_ref()
+            .map(|sample| sent.since(sample.sent).as_millis());
+        log::log!(target: "request", level, id, instance = &**connection.instance, leader,
+            floor:% = position(connection.floor),
+            sample:% = position(basis.sample.as_ref().map(|sample| sample.position)),
+            source:%, age_ms:? = age_ms,
+            answered:% = position(reply.applied),
+            waited_ms:% = sent.since(start).as_millis(), ran_ms:% = now.since(sent).as_millis();
+            "read");
+    }
+
     /// Tells the kernel the position that an instance reported with a reply.
     pub(super) fn report_position(
         &self,
--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -288,6 +288,7 @@
         planned: &PlannedCall<'_>,
     ) -> Result<(), dialect::CallerFailure> {
         let start = std_time::Instant::now();
+        let requested = self.runtime.clock.now();
         let deadline = start + self.runtime.settings.limits.wait_timeout;
         let (limit, attempts) = self.statement_limits();
         let access = if planned.writes {
@@ -316,6 +317,9 @@
             match self.run_retrying_busy(&mut connection, &planned.run, limit, busy_deadline) {
                 Ok(reply) => {
                     self.report_position(&connection, sent, &reply);
+                    if !planned.writes {
+                        self.log_read(&planned.call.id, &connection, sent, requested, &reply);
+                    }
                     match self.retry_outcome(&connection, &reply) {
                         Some(outcome) => {
                             self.return_to_pool(links, connection, outcome);
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -142,7 +142,7 @@
             let refusal = Refusal::new(Cause::TransactionLost, handle::UNREACHABLE_RETRY_MS);
             return if is_fresh { Ok(()) } else { Err(refusal) };
         }
-        let (begin, is_read_only) = (transaction.begin.clone(), transaction.is_read_only);
+        let (call, is_read_only) = (transaction.begin.clone(), transaction.is_read_only);
         let access = if is_read_only {
             event::Access::Read
         } else {
@@ -151,15 +151,19 @@
         let deadline = std_time::Instant::now() + self.runtime.settings.limits.wait_timeout;
         let (limit, _) = self.statement_limits();
         let mut retry = false;
+        let requested = self.runtime.clock.now();
         loop {
             let mut connection = self.acquire(links, access, retry, deadline)?;
             retry = true;
             let sent = self.runtime.clock.now();
-            let begin = dialect::Execution::Plain(&begin);
+            let begin = dialect::Execution::Plain(&call);
             let busy_deadline = Self::busy_deadline(&connection, deadline);
             match self.run_retrying_busy(&mut connection, &begin, limit, busy_deadline) {
                 Ok(reply) if reply.state == dialect::TransactionState::Open => {
                     self.report_position(&connection, sent, &reply);
+                    if is_read_only {
+                        self.log_read(&call.id, &connection, sent, requested, &reply);
+                    }
                     if let Some(transaction) = &mut self.transaction {
                         transaction.connection = Some(connection);
                     }
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -205,7 +205,7 @@
         let is_current = |r: u64, e: u64| store_arbitrates || (r <= revision && e <= epoch);
         self.members
             .handle_pong(from, self.now, sent, report, &is_current);
-        self.merge_positions(sent, &report.positions);
+        self.merge_positions(from, sent, &report.positions);
         self.sync_with_peer(from, report);
         self.step_revisions();
         self.activate_shares();
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -64,6 +64,7 @@
             &confirmation.primary,
             confirmation.term,
             None,
+            event::ReadBasis::default(),
         );
         true
     }
@@ -170,10 +171,26 @@
         self.init_floor(item.request.session, group);
         let floor = self.required_floor(item.request.session, group);
         let floor = floor.filter(|_| !chosen.primary);
-        self.grant(&item.request, group, &chosen.name, term, floor);
+        let basis = self.read_basis(item.request.session, group);
+        self.grant(&item.request, group, &chosen.name, term, floor, basis);
         true
     }
 
+    fn read_basis(&self, session: event::SessionId, group: &Name) -> event::ReadBasis {
+        let (Some(session), Some(state)) =
+            (self.sessions.open.get(&session), self.groups.get(group))
+        else {
+            return event::ReadBasis::default();
+        };
+        let sample = session
+            .max_age
+            .and_then(|age| state.group.sample_of_age(age, self.now));
+        event::ReadBasis {
+            leader: state.group.primary().cloned(),
+            sample: sample.cloned(),
+        }
+    }
+
     /// Floor that a replica must have applied before it serves the session; none if
     /// the replica does not check a floor.
     fn required_floor(
@@ -208,6 +225,7 @@
         instance: &Name,
         term: position::Term,
         floor: Option<position::Position>,
+        basis: event::ReadBasis,
     ) {
         self.take_token(request);
         let busy = self.busy_connections.entry(instance.clone()).or_default();
@@ -244,6 +262,7 @@
             primary: primary == Some(instance),
             deadline,
             floor,
+            basis,
         }));
     }
 
@@ -301,10 +320,15 @@
             (config::ReadConsistency::OwnAndAge, None) => {
                 own.map_or(Requirement::Any, Requirement::Applied)
             }
-            (config::ReadConsistency::OwnAndAge, Some(age)) => match group.floor_of_age(age, now) {
-                Some(floor) => Requirement::Applied(own.map_or(floor, |own| own.max(floor))),
-                None => Requirement::Primary,
-            },
+            (config::ReadConsistency::OwnAndAge, Some(age)) => {
+                match group.sample_of_age(age, now) {
+                    Some(sample) => {
+                        let floor = group.cap_floor(sample.position);
+                        Requirement::Applied(own.map_or(floor, |own| own.max(floor)))
+                    }
+                    None => Requirement::Primary,
+                }
+            }
         }
     }
 
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -8,7 +8,7 @@
 use errors::Refusal;
 use serde::{Deserialize, Serialize};
 
-use crate::{budget, journal, leader, message, position, time, view, view_sync};
+use crate::{budget, journal, leader, message, position, sample, time, view, view_sync};
 
 /// Identifies a caller's connection to this daemon.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -452,6 +452,17 @@
     pub deadline: time::Time,
     /// Floor that the instance must have applied.
     pub floor: Option<position::Position>,
+    /// What the choice of the instance for a read rests on.
+    pub basis: ReadBasis,
+}
+
+/// What the choice of an instance for a read rests on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadBasis {
+    /// Instance taken for the leader.
+    pub leader: Option<Name>,
+    /// Sample of the leader's position that yields the floor of a stated age.
+    pub sample: Option<sample::Sample>,
 }
 
 /// Where the requests of a new session go.
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -16,7 +16,7 @@
 
 use config::{Durability, Name};
 
-use crate::{leader, position, time};
+use crate::{leader, position, sample, time};
 
 mod store_arbiter;
 
@@ -101,13 +101,6 @@
     pub until: time::Time,
 }
 
-/// Position of the primary, sampled under a confirmation.
-#[derive(Clone, Copy, Debug)]
-struct Sample {
-    sent: time::Time,
-    position: position::Position,
-}
-
 /// State of one group as this daemon knows it.
 #[derive(Debug)]
 pub struct Group {
@@ -121,8 +114,9 @@
     term_changed: time::Time,
     last_answer: time::Time,
     has_led: bool,
-    sample: Option<Sample>,
-    history: collections::VecDeque<(time::Time, position::Position)>,
+    /// Newest position of the primary, sampled under a confirmation.
+    sample: Option<sample::Sample>,
+    history: collections::VecDeque<sample::Sample>,
     poll_requested: time::Time,
     arbiter: Arbiter,
     assignment: Option<leader::Assignment>,
@@ -342,16 +336,21 @@
             term: status.term,
             lsn: status.received,
         };
+        let sample = sample::Sample {
+            sent,
+            position,
+            source: sample::Source::Instance,
+        };
         if self.history.len() == HISTORY_LEN && self.arbiter == Arbiter::Instances {
             self.history.pop_front();
         }
         if self.arbiter == Arbiter::Instances {
-            self.history.push_back((sent, position));
+            self.history.push_back(sample.clone());
         } else {
-            self.record_position(sent, position);
+            self.record_sample(sample.clone());
         }
         if self.confirmation(now).is_some() {
-            self.sample = Some(Sample { sent, position });
+            self.sample = Some(sample);
         }
     }
 
@@ -437,8 +436,9 @@
         self.history
             .iter()
             .rev()
+            .map(|sample| (sample.sent, sample.position))
             .find(|(_, floor)| floor.term == status.term && floor.lsn <= status.replayed)
-            .map(|(sent, _)| now.since(*sent))
+            .map(|(sent, _)| now.since(sent))
     }
 
     /// Position of the primary from a poll sent at `since` or later.
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -10,7 +10,7 @@
     Arbiter, Backoff, Confirmation, FAILING_POLL_PERIOD, Group, HISTORY_LEN, InstanceState,
     Sampling, TERM_POLL_PERIOD,
 };
-use crate::{leader, position, time};
+use crate::{leader, position, sample, time};
 
 /// Delay after a failed connection; doubled with each further failure.
 const BACKOFF_DELAY: std_time::Duration = std_time::Duration::from_millis(40);
@@ -196,20 +196,21 @@
     }
 
     /// Records a position of the leader that a peer has sent.
-    pub fn record_peer_position(&mut self, sent: time::Time, position: position::Position) {
+    pub fn record_peer_sample(&mut self, sample: sample::Sample) {
         if self.assignment.is_some() && self.newest_term == position::Term::default() {
-            self.newest_term = position.term;
+            self.newest_term = sample.position.term;
         }
-        self.record_position(sent, position);
+        self.record_sample(sample);
     }
 
-    /// Records a position that the leader had reached when a request sent at
-    /// `sent` arrived at the leader. This daemon or a peer sent the request.
-    pub fn record_position(&mut self, sent: time::Time, position: position::Position) {
-        let index = self.history.partition_point(|(at, _)| *at <= sent);
-        let is_near = |other: Option<&(time::Time, position::Position)>| {
-            other.is_some_and(|(at, _)| {
-                at.since(sent) < HISTORY_SPACING && sent.since(*at) < HISTORY_SPACING
+    /// Records a position that the leader had reached when a request arrived at
+    /// the leader. This daemon or a peer sent the request.
+    pub fn record_sample(&mut self, sample: sample::Sample) {
+        let sent = sample.sent;
+        let index = self.history.partition_point(|other| other.sent <= sent);
+        let is_near = |other: Option<&sample::Sample>| {
+            other.is_some_and(|other| {
+                other.sent.since(sent) < HISTORY_SPACING && sent.since(other.sent) < HISTORY_SPACING
             })
         };
         let before = index.checked_sub(1).and_then(|i| self.history.get(i));
@@ -218,14 +219,14 @@
         }
         if self.history.len() == HISTORY_LEN {
             self.history.pop_front();
-            return self.record_position(sent, position);
+            return self.record_sample(sample);
         }
-        self.history.insert(index, (sent, position));
+        self.history.insert(index, sample);
     }
 
-    /// Newest known position of the leader, with its time.
-    pub fn newest_position(&self) -> Option<(time::Time, position::Position)> {
-        self.history.back().copied()
+    /// Newest known position of the leader.
+    pub fn newest_sample(&self) -> Option<&sample::Sample> {
+        self.history.back()
     }
 
     /// Confirmation derived from the store's assignment. If the assignment has
@@ -335,18 +336,14 @@
             .is_some_and(|(at, missed)| floor >= missed && now.since(at) < MISSED_FLOOR_PERIOD)
     }
 
-    /// Oldest known position of the leader that is at most `age` old. The
-    /// position covers everything that was acknowledged before that time.
-    pub fn floor_of_age(
+    /// Oldest known position of the leader that is at most `age` old.
+    pub fn sample_of_age(
         &self,
         age: std_time::Duration,
         now: time::Time,
-    ) -> Option<position::Position> {
-        let fresh = |(sent, _): &&(time::Time, position::Position)| now.since(*sent) <= age;
-        self.history
-            .iter()
-            .find(fresh)
-            .map(|(_, floor)| self.cap_floor(*floor))
+    ) -> Option<&sample::Sample> {
+        let is_fresh = |sample: &&sample::Sample| now.since(sample.sent) <= age;
+        self.history.iter().find(is_fresh)
     }
 
     /// Caps a floor of an older term at the start of the assigned term: a
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -31,6 +31,7 @@
 mod replacement;
 mod reports;
 pub mod revision;
+pub mod sample;
 mod sessions;
 pub mod sharing;
 pub mod store_clock;
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -5,7 +5,7 @@
 
 use config::Name;
 
-use crate::{daemon, event, group, journal, message, reports, time, view};
+use crate::{daemon, event, group, journal, message, reports, sample, time, view};
 
 /// Time after which a VM repeats its registration if the store did not answer or
 /// refused the write: when many VMs start at once, they use up the store's rate of
@@ -447,11 +447,11 @@
     /// Newest known positions of leaders, for reports to peers.
     pub(crate) fn leader_positions(&self) -> Vec<message::LeaderPosition> {
         let known = self.groups.iter().filter_map(|(name, state)| {
-            let (sent, floor) = state.group.newest_position()?;
+            let sample = state.group.newest_sample()?;
             Some(message::LeaderPosition {
                 group: name.clone(),
-                floor,
-                age: time::micros(self.now.since(sent)),
+                floor: sample.position,
+                age: time::micros(self.now.since(sample.sent)),
             })
         });
         known.collect()
@@ -461,15 +461,18 @@
     /// `sent`.
     pub(crate) fn merge_positions(
         &mut self,
+        from: &Name,
         sent: time::Time,
         positions: &[message::LeaderPosition],
     ) {
         for position in positions {
             let age = std_time::Duration::from_micros(position.age);
             if let Some(state) = self.groups.get_mut(&position.group) {
-                state
-                    .group
-                    .record_peer_position(sent.before(age), position.floor);
+                state.group.record_peer_sample(sample::Sample {
+                    sent: sent.before(age),
+                    position: position.floor,
+                    source: sample::Source::Peer(from.clone()),
+                });
             }
         }
     }
