Give restarted daemons of the simulation a new clock; three tests that fail

The simulation gave all daemons one clock, also after a restart. A real daemon's clock starts with its process, one second after its origin. With a clock of its own for each run, three tests fail on the present code:

- an_answer_to_an_earlier_run_dates_no_position: an answer to a ping of the former process names a time that lies in the future of the new clock.
- a_reply_to_an_earlier_run_proves_no_view: the same for the reply to a request for the view; the view counts as fresh until 11.7 s, at 2 s.

--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -313,22 +313,55 @@
     assert_others_stay_fresh(&mut sim, READER);
 }
 
-/// Number of parts that a VM sends in full when another VM requests the whole view.
-fn full_parts(sim: &mut Simulation, vm: usize, from: &str) -> usize {
+/// Reply of a VM when another VM requests the whole view at `sent`.
+fn view_reply(
+    sim: &mut Simulation,
+    vm: usize,
+    from: &str,
+    sent: kernel::time::Time,
+) -> kernel::message::ViewReply {
     let request = kernel::message::ViewRequest {
-        sent: sim.now,
+        sent,
         known: Vec::new(),
     };
     let message = kernel::message::Message::ViewRequest(request);
     let event = kernel::event::Event::MessageReceived(store_arbiter::name(from), message);
-    let actions = sim.daemons[vm].handle(sim.now, event);
-    let parts = actions.into_iter().filter_map(|action| match action {
-        kernel::event::Action::Send(_, kernel::message::Message::ViewReply(reply)) => {
-            Some(reply.parts)
-        }
+    let now = sim.local_time(vm);
+    let actions = sim.daemons[vm].handle(now, event);
+    let reply = actions.into_iter().find_map(|action| match action {
+        kernel::event::Action::Send(_, kernel::message::Message::ViewReply(reply)) => Some(reply),
         _ => None,
     });
-    parts.flatten().filter(|part| part.whole).count()
+    reply.expect("the VM replies")
+}
+
+/// Number of parts that a VM sends in full when another VM requests the whole view.
+fn full_parts(sim: &mut Simulation, vm: usize, from: &str) -> usize {
+    let now = sim.now;
+    let parts = view_reply(sim, vm, from, now).parts;
+    parts.iter().filter(|part| part.whole).count()
+}
+
+// The reply arrives after the daemon that asked has been replaced, whose clock was ahead.
+#[test]
+fn a_reply_to_an_earlier_run_proves_no_view() {
+    let mut sim = large_fleet();
+    sim.run(ms(5000));
+    let follower = DOMAIN_READER + 3;
+    let sent = sim.local_time(follower);
+    let from = format!("vm-{follower}");
+    let reply = view_reply(&mut sim, DOMAIN_READER, &from, sent);
+    sim.restart(follower);
+    sim.run(ms(1000));
+    let reader = store_arbiter::name(&format!("vm-{DOMAIN_READER}"));
+    let message = kernel::message::Message::ViewReply(reply);
+    sim.dispatch(
+        follower,
+        kernel::event::Event::MessageReceived(reader, message),
+    );
+    let until = sim.daemons[follower].fresh_until();
+    let limit = sim.local_time(follower) + ms(4500);
+    assert!(until.is_some_and(|until| until <= limit), "{until:?}");
 }
 
 #[test]
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -104,7 +104,7 @@
             self.check_age(status.replayed.0);
         }
         let status = self.status(instance);
-        let sent = self.now;
+        let sent = self.local_time(vm);
         let observed = event::Observation {
             instance: grant.instance.clone(),
             sent,
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -23,6 +23,8 @@
 const KEY: &str = "the-key";
 /// Resolution of the virtual clock.
 const STEP: std_time::Duration = std_time::Duration::from_millis(5);
+/// Time on the clock of a process at its start.
+const CLOCK_START: time::Time = time::Time::from_ms(1000);
 /// One-way delay between VMs, and from a VM to the store and the instances.
 const LINK_DELAY: std_time::Duration = std_time::Duration::from_millis(5);
 /// Time from a promotion order until the instance leads.
@@ -84,6 +86,8 @@
 pub struct Simulation {
     pub now: time::Time,
     pub daemons: Vec<Daemon>,
+    /// Origin of each daemon's clock.
+    clock_origins: Vec<time::Time>,
     pub dead: collections::BTreeSet<usize>,
     pub paused: collections::BTreeSet<usize>,
     /// VMs that cannot reach the store.
@@ -279,7 +283,7 @@
 impl Simulation {
     /// Starts a fleet led by instance 0 and waits until every daemon is ready.
     pub fn new(options: &Options) -> Self {
-        let start = time::Time::from_ms(1000);
+        let start = CLOCK_START;
         let setups: Vec<_> = (0..options.vms).map(|i| daemon_setup(options, i)).collect();
         let daemons = setups.iter().map(|setup| {
             let daemon = Daemon::new(setup.clone(), start);
@@ -304,6 +308,7 @@
         let mut sim = Self {
             now: start,
             daemons: daemons.collect(),
+            clock_origins: vec![time::Time::default(); options.vms],
             dead: collections::BTreeSet::new(),
             paused: collections::BTreeSet::new(),
             cut_store: collections::BTreeSet::new(),
@@ -429,10 +434,18 @@
         self.store.put(event::Row::Leader(name("orders"), leader));
     }
 
-    /// Replaces the daemon of a VM by a new process with a new incarnation.
+    /// Current time on the clock of a VM's daemon.
+    pub fn local_time(&self, vm: usize) -> time::Time {
+        time::Time::default() + self.now.since(self.clock_origins[vm])
+    }
+
+    /// Replaces the daemon of a VM by a new process with a new incarnation and a new
+    /// clock.
     pub fn restart(&mut self, vm: usize) {
         self.setups[vm].incarnation += 100;
-        let daemon = Daemon::new(self.setups[vm].clone(), self.now);
+        let age = CLOCK_START.since(time::Time::default());
+        self.clock_origins[vm] = self.now.before(age);
+        let daemon = Daemon::new(self.setups[vm].clone(), self.local_time(vm));
         self.daemons[vm] = daemon.expect("the policies are known");
         self.forget_reads(vm);
         self.dead.remove(&vm);
@@ -451,7 +464,8 @@
             }
             return;
         }
-        for action in self.daemons[vm].handle(self.now, event) {
+        let now = self.local_time(vm);
+        for action in self.daemons[vm].handle(now, event) {
             self.perform(vm, action);
         }
     }
@@ -459,7 +473,8 @@
     fn perform(&mut self, vm: usize, action: event::Action) {
         match action {
             event::Action::Poll(instance) => {
-                let delivery = Delivery::Poll(vm, instance_index(&instance), self.now);
+                let sent = self.local_time(vm);
+                let delivery = Delivery::Poll(vm, instance_index(&instance), sent);
                 self.schedule(LINK_DELAY, delivery);
             }
             event::Action::Fence(instance, term) => {
@@ -496,7 +511,7 @@
             event::Action::ChangeRow(change) => self.queue_write(vm, Write::Change(change)),
             event::Action::RestoreRows(changes) => self.queue_write(vm, Write::Restore(changes)),
             event::Action::OrderPromotion(order) => {
-                if self.now < order.deadline {
+                if self.local_time(vm) < order.deadline {
                     self.schedule(LINK_DELAY, Delivery::OrderPromotion(vm, order));
                 } else {
                     let rejected =
@@ -517,7 +532,7 @@
             }
             event::Action::RefuseRequest(_, refusal) => self.refusals.push(refusal.cause),
             // As in the daemon, the commit is acknowledged only before its deadline.
-            event::Action::AcknowledgeCommit(_, _, until) if self.now < until => {
+            event::Action::AcknowledgeCommit(_, _, until) if self.local_time(vm) < until => {
                 self.acknowledged.push(self.now);
             }
             event::Action::RecordDecision(entry) => {
--- a/components/kernel/tests/store_arbiter/store.rs
+++ b/components/kernel/tests/store_arbiter/store.rs
@@ -183,11 +183,12 @@
                 continue;
             }
             let due = self.daemons[vm].due_read(part);
-            if let Some(due) = due.filter(|due| due.at <= self.now) {
+            let now = self.local_time(vm);
+            if let Some(due) = due.filter(|due| due.at <= now) {
                 self.store.calls += 1;
                 self.store_readers.insert(vm);
-                self.store.pending_reads.insert((vm, part), (self.now, due));
-                self.answer_read(vm, part, self.now, due);
+                self.store.pending_reads.insert((vm, part), (now, due));
+                self.answer_read(vm, part, now, due);
             }
         }
     }
@@ -205,7 +206,7 @@
             .filter(|after| version::Version::from(*after).era() == era);
         let failed = self.cut_store.contains(&vm);
         let changes = self.store.changes(part, after);
-        let is_expired = self.now.since(sent) >= due.wait;
+        let is_expired = self.local_time(vm).since(sent) >= due.wait;
         if changes.is_none() && !is_expired && !failed {
             return;
         }
@@ -220,7 +221,7 @@
         if !failed {
             let update = view::Update {
                 part,
-                proven_at: self.now,
+                proven_at: self.local_time(vm),
                 version: self.store.data.version(),
                 whole: after.is_none(),
                 changes,
