Take no time before a daemon's start for its start

Time::before stopped at the origin of the clock, which is one second before the start of the daemon. A daemon that had just started dated a position that a peer had learned 2 s ago to one second ago, took it as the floor of its own reads (the oldest sample within the age is chosen), and passed it on with the wrong age to peers that had no newer one.

Time::before now returns nothing for a time before the origin. Such positions and proofs are dropped; peers count as not heard of. The same took place for views that a reader passes on, and for proofs of peers in both dialects.

--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -424,9 +424,8 @@
         }
         self.is_refusing = !fresh;
         let until = self.fresh_until().unwrap_or_default();
-        let silent = self
-            .now
-            .since(until.before(self.setup.timing.refusal_timeout));
+        let confirmed = until.before(self.setup.timing.refusal_timeout);
+        let silent = self.now.since(confirmed.unwrap_or_default());
         self.record_decision(journal::Decision::Freshness {
             refused: !fresh,
             silent_ms: time::micros(silent) / 1000,
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -246,7 +246,8 @@
                 continue;
             }
             let age = std_time::Duration::from_micros(heard.age);
-            let proof = is_current(heard.revision, heard.epoch).then(|| sent.before(age));
+            let proof = sent.before(age);
+            let proof = proof.filter(|_| is_current(heard.revision, heard.epoch));
             let summary = message::Report {
                 incarnation: heard.incarnation,
                 revision: heard.revision,
@@ -254,7 +255,8 @@
                 listed: true,
                 ..message::Report::default()
             };
-            self.merge_report(&heard.vm, now.before(age), &summary, proof);
+            let heard_at = now.before(age).unwrap_or_default();
+            self.merge_report(&heard.vm, heard_at, &summary, proof);
         }
     }
 
--- a/components/kernel/src/reports.rs
+++ b/components/kernel/src/reports.rs
@@ -182,13 +182,15 @@
                 continue;
             }
             let age = std_time::Duration::from_micros(common.age);
-            let proof = is_current(common.revision, common.epoch).then(|| sent.before(age));
+            let proof = sent.before(age);
+            let proof = proof.filter(|_| is_current(common.revision, common.epoch));
             let (revision, epoch) = if same_list {
                 (common.revision, common.epoch)
             } else {
                 (0, 0)
             };
-            peer.record_contact(now.before(age), revision, epoch, proof);
+            let heard_at = now.before(age).unwrap_or_default();
+            peer.record_contact(heard_at, revision, epoch, proof);
         }
     }
 }
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -467,9 +467,12 @@
     ) {
         for position in positions {
             let age = std_time::Duration::from_micros(position.age);
+            let Some(sampled_at) = sent.before(age) else {
+                continue;
+            };
             if let Some(state) = self.groups.get_mut(&position.group) {
                 state.group.record_peer_sample(sample::Sample {
-                    sent: sent.before(age),
+                    sent: sampled_at,
                     position: position.floor,
                     source: sample::Source::Peer(from.clone()),
                 });
--- a/components/kernel/src/time.rs
+++ b/components/kernel/src/time.rs
@@ -34,9 +34,10 @@
         time::Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
-    /// The point `span` earlier, or the origin if that is later.
-    pub fn before(self, span: time::Duration) -> Self {
-        Self(self.0.saturating_sub(micros(span)))
+    /// The point `span` earlier; none if it precedes the origin. The clock starts with
+    /// the daemon, so it has no time for what happened before.
+    pub fn before(self, span: time::Duration) -> Option<Self> {
+        self.0.checked_sub(micros(span)).map(Self)
     }
 }
 
--- a/components/kernel/src/view_sync.rs
+++ b/components/kernel/src/view_sync.rs
@@ -354,12 +354,16 @@
         if self.view_sync.reader.as_ref() != Some(from) {
             return;
         }
-        let complete = reply.parts.len() == view::PARTS.len();
+        let mut complete = reply.parts.len() == view::PARTS.len();
         for part in reply.parts {
             let age = std_time::Duration::from_micros(part.age);
+            let Some(proven_at) = reply.sent.before(age) else {
+                complete = false;
+                continue;
+            };
             self.apply_view_update(view::Update {
                 part: part.part,
-                proven_at: reply.sent.before(age),
+                proven_at,
                 version: part.version,
                 whole: part.whole,
                 changes: part.changes,
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -444,7 +444,7 @@
     pub fn restart(&mut self, vm: usize) {
         self.setups[vm].incarnation += 100;
         let age = CLOCK_START.since(time::Time::default());
-        self.clock_origins[vm] = self.now.before(age);
+        self.clock_origins[vm] = self.now.before(age).expect("the clock has started");
         let daemon = Daemon::new(self.setups[vm].clone(), self.local_time(vm));
         self.daemons[vm] = daemon.expect("the policies are known");
         self.forget_reads(vm);
