Accept answers of peers only to requests of this run

Answers to pings and to requests for the view repeat when the request was sent, and their ages are counted from there. An answer that arrives after the daemon was replaced names a time of its predecessor's clock. Where that clock was ahead, the answer dated positions of the leader, proofs of peers and the proof of the view to the future: the view of a follower counted as fresh until 11.7 s at 2 s of its clock, and a position of any age as new. The window is the time from the kill to the first message over a new connection, so it is small; seen in tests only.

The time of an_answer in a_report_on_another_list_proves_liveness_but_not_entries was no ping's; the test now waits for a real ping and checks the same.

--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -198,6 +198,9 @@
     }
 
     fn handle_pong(&mut self, from: &Name, sent: time::Time, report: &message::Report) {
+        if !self.members.has_pinged(sent) {
+            return self.record_decision(journal::Decision::UnknownRequest { vm: from.clone() });
+        }
         let revision = self.revision();
         let epoch = self.budgets.epoch().number;
         // Where the store arbitrates, proofs only show which VMs are live.
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -123,6 +123,12 @@
         /// Whether the VM had stopped and given up all that it held.
         released: bool,
     },
+    /// A peer answered a request that this run of the daemon has not sent.
+    #[display("answer of {vm} ignored: this daemon has not sent the request")]
+    UnknownRequest {
+        /// VM that answered.
+        vm: Name,
+    },
     /// A step in the replacement of a leader where the store arbitrates.
     #[display("leader of {group}: {note}")]
     Handover {
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -32,6 +32,7 @@
 mod reports;
 pub mod revision;
 pub mod sample;
+mod sent_requests;
 mod sessions;
 pub mod sharing;
 pub mod store_clock;
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -10,7 +10,7 @@
 
 use config::Name;
 
-use crate::{event, group, message, time};
+use crate::{event, group, message, sent_requests, time};
 
 /// Time after its first exchange in which a VM exchanges reports more often, because
 /// the VM knows nothing of the other VMs yet and all of them may have started at the
@@ -95,6 +95,7 @@
     own_listed: bool,
     store_proof: Option<time::Time>,
     last_ping: Option<time::Time>,
+    pings: sent_requests::SentRequests,
     /// When the first exchange began.
     first_ping: Option<time::Time>,
     /// Number of exchanges so far.
@@ -126,6 +127,7 @@
             own_listed: false,
             store_proof: None,
             last_ping: None,
+            pings: sent_requests::SentRequests::default(),
             first_ping: None,
             rounds: 0,
             gossip_period: timing.gossip_period,
@@ -201,6 +203,7 @@
             return Vec::new();
         }
         self.last_ping = Some(now);
+        self.pings.record(now);
         self.rounds = self.rounds.wrapping_add(1);
         let targets = self.gossip_targets(now);
         if !targets.is_empty() {
@@ -220,6 +223,11 @@
         }
     }
 
+    /// Whether this run of the daemon sent a ping at that time.
+    pub fn has_pinged(&self, sent: time::Time) -> bool {
+        self.pings.contains(sent)
+    }
+
     /// Records a received ping. A ping only shows that its sender is not silent. If
     /// the store arbitrates, a ping also counts as a proof, because proofs then only
     /// decide which VMs exchange reports.
--- a/components/kernel/src/view_sync.rs
+++ b/components/kernel/src/view_sync.rs
@@ -15,7 +15,7 @@
 
 use config::Name;
 
-use crate::{daemon, group, message, time, view};
+use crate::{daemon, group, journal, message, sent_requests, time, view};
 
 /// Time without a reply after which a VM reads the store itself: three requests.
 const READER_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
@@ -63,6 +63,7 @@
     /// Since when this VM has had a reader without interruption.
     reader_since: Option<time::Time>,
     requested_at: Option<time::Time>,
+    requests: sent_requests::SentRequests,
     /// When the newest request was sent to which the reply held all parts.
     answered_at: Option<time::Time>,
     followers: collections::BTreeMap<Name, Follower>,
@@ -298,6 +299,7 @@
         self.view_sync.reader_since.get_or_insert(self.now);
         self.view_sync.reader = Some(reader.clone());
         self.view_sync.requested_at = Some(self.now);
+        self.view_sync.requests.record(self.now);
         let known = view::PARTS.into_iter();
         let known = known.filter_map(|part| Some((part, self.view.known_version(part)?)));
         let request = message::ViewRequest {
@@ -351,6 +353,9 @@
 
     /// Applies a reply of the reader to the view.
     pub(crate) fn apply_view_reply(&mut self, from: &Name, reply: message::ViewReply) {
+        if !self.view_sync.requests.contains(reply.sent) {
+            return self.record_decision(journal::Decision::UnknownRequest { vm: from.clone() });
+        }
         if self.view_sync.reader.as_ref() != Some(from) {
             return;
         }
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -168,6 +168,20 @@
     );
 }
 
+/// Waits until a VM sends a ping, which is not delivered; returns when it was sent.
+fn next_ping(sim: &mut Simulation, vm: usize) -> kernel::time::Time {
+    let pings = (0..400).find_map(|_| {
+        sim.now = sim.now + ms(5);
+        let now = sim.local_time(vm);
+        let actions = sim.daemons[vm].handle(now, kernel::event::Event::Tick);
+        actions.into_iter().find_map(|action| match action {
+            kernel::event::Action::Send(_, kernel::message::Message::Ping(sent, _)) => Some(sent),
+            _ => None,
+        })
+    });
+    pings.expect("the VM pings its peers")
+}
+
 #[test]
 fn a_report_on_another_list_proves_liveness_but_not_entries() {
     let mut sim = Simulation::new(&two_regions(48));
@@ -186,8 +200,7 @@
         }],
         ..kernel::message::Report::default()
     };
-    sim.run(ms(30));
-    let now = sim.now;
+    let now = next_ping(&mut sim, 6);
     let mut send_report = |version| {
         let pong = kernel::message::Message::Pong(now, report(version));
         let event = kernel::event::Event::MessageReceived(from.clone(), pong);
@@ -352,7 +365,7 @@
     let from = format!("vm-{follower}");
     let reply = view_reply(&mut sim, DOMAIN_READER, &from, sent);
     sim.restart(follower);
-    sim.run(ms(1000));
+    sim.run(ms(2000));
     let reader = store_arbiter::name(&format!("vm-{DOMAIN_READER}"));
     let message = kernel::message::Message::ViewReply(reply);
     sim.dispatch(
