Determine what a read needs when it is sent, and give reads at the leader a floor

Two beliefs on the way of a read that nothing checked (suspected by reading, not seen in the incident):

- The floor was fixed at the grant.
Opening a connection, replaying session values and waiting for a busy instance come after it and may take over a second, in which the position gets older than the route allows, the leader is replaced, or the proof of the key expires (the deadline was checked before the connection was opened only).
- A read at the instance taken for the leader had no floor, so an instance that does not lead any more, or never did, answered it from what it had.

The kernel now states a precondition for each statement just before it is sent (requirement.rs): the floor, from positions that stay recent enough for 50 ms on the way, and for writes and primary reads that the instance still leads under a valid assignment. Reads at the leader carry the highest known position, which the leader has by definition. A statement whose precondition fails goes back to the queue; it has not been sent.

Tests, each failing with the floor at the grant and none at the leader: a read and a primary read with a slow connection, and a primary read at a replica that only the store's row names as leader. The simulation opens connections in a time of its own for this.

--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -20,8 +20,11 @@
     pub(super) request: event::RequestId,
     pub(super) instance: Name,
     pub(super) is_primary: bool,
-    pub(super) floor: Option<position::Position>,
-    pub(super) basis: event::ReadBasis,
+    /// Condition under which the next statement may be sent; the default inside a
+    /// transaction, which stays at its instance.
+    pub(super) precondition: event::Precondition,
+    /// Access of the request; none inside a transaction.
+    pub(super) access: Option<event::Access>,
     /// Time after which no statement may start on the connection.
     pub(super) valid_until: kernel::time::Time,
 }
@@ -60,8 +63,8 @@
             request: grant.request,
             instance: grant.instance,
             is_primary: grant.primary,
-            floor: grant.floor,
-            basis: grant.basis,
+            precondition: event::Precondition::default(),
+            access: Some(access),
             valid_until: grant.deadline,
         })
     }
@@ -105,7 +108,10 @@
         limit: std_time::Duration,
     ) -> Result<dialect::Reply, dialect::LinkFailure> {
         let first_wait = limit.min(group::STATEMENT_DELAY);
-        match connection.link.run(run, connection.floor, first_wait) {
+        match connection
+            .link
+            .run(run, connection.precondition.floor, first_wait)
+        {
             Err(dialect::LinkFailure::TimedOut) if first_wait < limit => {
                 let instance = connection.instance.clone();
                 self.runtime
@@ -116,6 +122,25 @@
         }
     }
 
+    /// Determines the precondition of the next statement; false if the statement may
+    /// not be sent to the instance any more.
+    pub(super) fn renew_precondition(&self, connection: &mut Connection) -> bool {
+        let now = self.runtime.clock.now();
+        if now >= connection.valid_until {
+            return false;
+        }
+        let Some(access) = connection.access else {
+            return true;
+        };
+        let instance = &connection.instance;
+        let renewed = self
+            .runtime
+            .inspect(|kernel| kernel.precondition(self.id, instance, access, now));
+        let is_met = renewed.is_some();
+        connection.precondition = renewed.unwrap_or_default();
+        is_met
+    }
+
     /// Time until which a statement is retried on the same instance while that
     /// instance is busy.
     pub(super) fn busy_deadline(
@@ -149,7 +174,7 @@
             let can_repeat = reply.state != dialect::TransactionState::Failed;
             let in_time = std_time::Instant::now() + pause < deadline
                 && self.runtime.clock.now() + pause < connection.valid_until;
-            if !(busy && can_repeat && in_time) {
+            if !(busy && can_repeat && in_time && self.renew_precondition(connection)) {
                 return Ok(reply);
             }
             thread::sleep(pause);
@@ -179,7 +204,7 @@
         let position = |position: Option<position::Position>| {
             position.map_or("-".to_string(), |position| position.to_string())
         };
-        let basis = &connection.basis;
+        let basis = &connection.precondition;
         let leader = basis.leader.as_ref().map_or("-", |leader| leader);
         let source = basis
             .sample
@@ -190,7 +215,7 @@
             .as_ref()
             .map(|sample| sent.since(sample.sent).as_millis());
         log::log!(target: "request", level, id, instance = &**connection.instance, leader,
-            floor:% = position(connection.floor),
+            floor:% = position(basis.floor),
             sample:% = position(basis.sample.as_ref().map(|sample| sample.position)),
             source:%, age_ms:? = age_ms,
             answered:% = position(reply.applied),
--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -303,10 +303,17 @@
                 Ok(connection) => connection,
                 Err(refusal) => break refusal,
             };
+            if !self.renew_precondition(&mut connection) {
+                self.return_to_pool(links, connection, event::RequestOutcome::Uncommitted);
+                retry = true;
+                if std_time::Instant::now() >= deadline {
+                    break handle::unreachable_refusal();
+                }
+                continue;
+            }
             if retry {
-                let floor = connection
-                    .floor
-                    .map_or("-".into(), |floor| floor.to_string());
+                let floor = connection.precondition.floor;
+                let floor = floor.map_or("-".into(), |floor| floor.to_string());
                 log::info!(target: "request", id = planned.call.id,
                     instance = &**connection.instance,
                     floor:%, primary = connection.is_primary; "sent again");
@@ -364,7 +371,7 @@
         let dialect::Outcome::Refused(reason) = reply.outcome else {
             return None;
         };
-        match (reason, connection.floor) {
+        match (reason, connection.precondition.floor) {
             (dialect::RefusalReason::Lagging, Some(floor)) => {
                 Some(event::RequestOutcome::BehindFloor(floor))
             }
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -91,7 +91,8 @@
             return self.fail(Some(planned.call), &Refusal::new(Cause::TransactionLost, 0));
         };
         let sent = self.runtime.clock.now();
-        connection.floor = None;
+        connection.access = None;
+        connection.precondition = event::Precondition::default();
         connection.valid_until = self.key_valid_until();
         let deadline = std_time::Instant::now() + self.runtime.settings.limits.wait_timeout;
         let adapted = connection.link.set_values(&self.values, limit);
@@ -155,6 +156,13 @@
         loop {
             let mut connection = self.acquire(links, access, retry, deadline)?;
             retry = true;
+            if !self.renew_precondition(&mut connection) {
+                self.return_to_pool(links, connection, event::RequestOutcome::Uncommitted);
+                if std_time::Instant::now() >= deadline {
+                    return Err(handle::unreachable_refusal());
+                }
+                continue;
+            }
             let sent = self.runtime.clock.now();
             let begin = dialect::Execution::Plain(&call);
             let busy_deadline = Self::busy_deadline(&connection, deadline);
@@ -217,7 +225,8 @@
             return self.refuse(Some(call), &Refusal::new(Cause::TransactionLost, 0));
         };
         let sent = self.runtime.clock.now();
-        connection.floor = None;
+        connection.access = None;
+        connection.precondition = event::Precondition::default();
         connection.valid_until = self.key_valid_until();
         let deadline = start + self.runtime.settings.limits.wait_timeout;
         let run = dialect::Execution::Plain(call);
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -1,10 +1,17 @@
 //! Grants connections to waiting requests.
 
-use std::collections;
+use std::{collections, time as std_time};
 
 use config::Name;
 
-use crate::{admission, budget, daemon, event, group, position, read_policy, sessions, time};
+use crate::{
+    admission, budget, daemon, event, group, position, read_policy, requirement::Requirement,
+    sessions, time,
+};
+
+/// Time from a grant to the sending of the request for which a position of the leader
+/// must still be recent enough.
+const GRANT_MARGIN: std_time::Duration = std_time::Duration::from_millis(50);
 
 impl daemon::Daemon {
     pub(crate) fn free_and_busy(&self, instance: &Name) -> (u32, u32) {
@@ -63,8 +70,6 @@
             group,
             &confirmation.primary,
             confirmation.term,
-            None,
-            event::ReadBasis::default(),
         );
         true
     }
@@ -151,7 +156,7 @@
             if !can_run(sessions, budgets, item, now, &mut lacking) {
                 return false;
             }
-            let requirement = Requirement::of(group_state, session, now);
+            let requirement = Requirement::of(group_state, session, now + GRANT_MARGIN);
             for candidate in &mut candidates {
                 candidate.is_fresh = requirement.is_met(group_state, session, candidate, now);
                 candidate.has_connection =
@@ -169,42 +174,10 @@
             .record(self.now.since(item.queued_at));
         let chosen = candidates.swap_remove(chosen_index);
         self.init_floor(item.request.session, group);
-        let floor = self.required_floor(item.request.session, group);
-        let floor = floor.filter(|_| !chosen.primary);
-        let basis = self.read_basis(item.request.session, group);
-        self.grant(&item.request, group, &chosen.name, term, floor, basis);
+        self.grant(&item.request, group, &chosen.name, term);
         true
     }
 
-    fn read_basis(&self, session: event::SessionId, group: &Name) -> event::ReadBasis {
-        let (Some(session), Some(state)) =
-            (self.sessions.open.get(&session), self.groups.get(group))
-        else {
-            return event::ReadBasis::default();
-        };
-        let sample = session
-            .max_age
-            .and_then(|age| state.group.sample_of_age(age, self.now));
-        event::ReadBasis {
-            leader: state.group.primary().cloned(),
-            sample: sample.cloned(),
-        }
-    }
-
-    /// Floor that a replica must have applied before it serves the session; none if
-    /// the replica does not check a floor.
-    fn required_floor(
-        &self,
-        session: event::SessionId,
-        group: &Name,
-    ) -> Option<position::Position> {
-        let session = self.sessions.open.get(&session)?;
-        match Requirement::of(&self.groups.get(group)?.group, session, self.now) {
-            Requirement::Applied(floor) => Some(floor),
-            _ => None,
-        }
-    }
-
     /// Sets the floor of a session from a position sample taken after the session was
     /// opened.
     pub(crate) fn init_floor(&mut self, session: event::SessionId, group: &Name) {
@@ -224,8 +197,6 @@
         group: &Name,
         instance: &Name,
         term: position::Term,
-        floor: Option<position::Position>,
-        basis: event::ReadBasis,
     ) {
         self.take_token(request);
         let busy = self.busy_connections.entry(instance.clone()).or_default();
@@ -261,8 +232,6 @@
             instance: instance.clone(),
             primary: primary == Some(instance),
             deadline,
-            floor,
-            basis,
         }));
     }
 
@@ -297,75 +266,3 @@
     }
     has_token
 }
-
-/// What an instance must have applied before it serves a read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Requirement {
-    /// The reported status of the instance decides.
-    Status,
-    /// The read may see any state.
-    Any,
-    /// The instance itself checks that it has applied this floor.
-    Applied(position::Position),
-    /// Only the primary may serve the read.
-    Primary,
-}
-
-impl Requirement {
-    fn of(group: &group::Group, session: &sessions::Session, now: time::Time) -> Self {
-        let own = session.floor.map(|floor| group.cap_floor(floor));
-        match (session.reads, session.max_age) {
-            (config::ReadConsistency::OwnOrAge, _) => Requirement::Status,
-            (config::ReadConsistency::Latest, _) => Requirement::Primary,
-            (config::ReadConsistency::OwnAndAge, None) => {
-                own.map_or(Requirement::Any, Requirement::Applied)
-            }
-            (config::ReadConsistency::OwnAndAge, Some(age)) => {
-                match group.sample_of_age(age, now) {
-                    Some(sample) => {
-                        let floor = group.cap_floor(sample.position);
-                        Requirement::Applied(own.map_or(floor, |own| own.max(floor)))
-                    }
-                    None => Requirement::Primary,
-                }
-            }
-        }
-    }
-
-    /// Whether the candidate meets the requirement, as far as this VM knows.
-    fn is_met(
-        self,
-        group: &group::Group,
-        session: &sessions::Session,
-        candidate: &read_policy::Candidate,
-        now: time::Time,
-    ) -> bool {
-        if candidate.primary {
-            return true;
-        }
-        match self {
-            Requirement::Status => status_satisfies(group, session, candidate, now),
-            Requirement::Any => true,
-            Requirement::Applied(floor) => !group.lacks_floor(&candidate.name, floor, now),
-            Requirement::Primary => false,
-        }
-    }
-}
-
-/// Whether the replica's reported status shows what the session must see.
-fn status_satisfies(
-    group: &group::Group,
-    session: &sessions::Session,
-    candidate: &read_policy::Candidate,
-    now: time::Time,
-) -> bool {
-    if let Some(age) = session.max_age {
-        return group
-            .data_age(&candidate.name, now)
-            .is_some_and(|a| a <= age);
-    }
-    let floor = session
-        .floor
-        .or_else(|| group.arrival_floor(session.opened_at));
-    floor.is_some_and(|floor| group.has_reached(&candidate.name, floor))
-}
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -450,15 +450,13 @@
     pub primary: bool,
     /// Time before which the request must start.
     pub deadline: time::Time,
-    /// Floor that the instance must have applied.
-    pub floor: Option<position::Position>,
-    /// What the choice of the instance for a read rests on.
-    pub basis: ReadBasis,
 }
 
-/// What the choice of an instance for a read rests on.
+/// Condition under which a granted request is sent to its instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ReadBasis {
+pub struct Precondition {
+    /// Floor that the instance must have applied, which the instance itself checks.
+    pub floor: Option<position::Position>,
     /// Instance taken for the leader.
     pub leader: Option<Name>,
     /// Sample of the leader's position that yields the floor of a stated age.
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -346,6 +346,12 @@
         self.history.iter().find(is_fresh)
     }
 
+    /// Highest known position of the leader.
+    pub fn newest_floor(&self) -> Option<position::Position> {
+        let positions = self.history.iter().map(|sample| sample.position);
+        positions.map(|position| self.cap_floor(position)).max()
+    }
+
     /// Caps a floor of an older term at the start of the assigned term: a
     /// session cannot wait for writes that a change of leader has rolled back.
     pub fn cap_floor(&self, floor: position::Position) -> position::Position {
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod rendezvous;
 mod replacement;
 mod reports;
+mod requirement;
 pub mod revision;
 pub mod sample;
 mod sent_requests;
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use kernel::{event, message, position};
+use kernel::{event, leader, message, position};
 
 use store_arbiter::{Options, Simulation, ms};
 
@@ -100,3 +100,78 @@
     read_through(&mut sim, 1, 1000);
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+/// Sends a write through each of the VMs every 50 ms for a time span in milliseconds.
+fn write_through(sim: &mut Simulation, vms: &[usize], span: u64) {
+    let sessions: Vec<_> = vms
+        .iter()
+        .map(|vm| (*vm, sim.open_session(*vm, "latest")))
+        .collect();
+    for _ in 0..span / 50 {
+        for (vm, session) in &sessions {
+            sim.send_request(*vm, *session, true);
+        }
+        sim.run(ms(50));
+    }
+}
+
+// The floor was determined at the grant, before the connection was opened.
+#[test]
+fn a_read_with_a_slow_connection_needs_a_recent_position() {
+    let mut sim = Simulation::new(&Options::default());
+    write_through(&mut sim, &[1], 500);
+    for replica in [1, 2] {
+        sim.instances[replica].replication_cut = true;
+    }
+    let session = sim.open_session(0, "aged");
+    let writer = sim.open_session(1, "latest");
+    for _ in 0..80 {
+        sim.connect_time = ms(1000);
+        sim.send_request(0, session, false);
+        sim.run(ms(5));
+        sim.connect_time = ms(0);
+        sim.send_request(1, writer, true);
+        sim.run(ms(45));
+    }
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// The leader is replaced while the connection to it is being opened.
+#[test]
+fn a_primary_read_with_a_slow_connection_does_not_run_at_a_replaced_leader() {
+    let mut sim = Simulation::new(&Options::default());
+    write_through(&mut sim, &[0, 1], 500);
+    sim.connect_time = ms(5000);
+    let session = sim.open_session(0, "latest");
+    sim.send_request(0, session, false);
+    sim.run(ms(5));
+    sim.connect_time = ms(0);
+    sim.instances[0].is_leaving = true;
+    write_through(&mut sim, &[1], 2500);
+    assert!(sim.leader().is_some_and(|leader| leader != 0));
+    sim.instances[0].replication_cut = true;
+    write_through(&mut sim, &[1], 4000);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// Nothing but the store's row says that the instance leads.
+#[test]
+fn a_primary_read_does_not_run_at_a_replica_that_is_taken_for_the_leader() {
+    let mut sim = Simulation::new(&Options::default());
+    write_through(&mut sim, &[0], 500);
+    sim.instances[1].replication_cut = true;
+    write_through(&mut sim, &[0], 500);
+    let row = leader::Leader {
+        instance: Some(store_arbiter::name("db-1")),
+        term: position::Term(1),
+        start: position::Position::default(),
+        claim: None,
+    };
+    let row = event::Row::Leader(store_arbiter::name("orders"), row);
+    sim.store.put(row);
+    sim.run(ms(1600));
+    let session = sim.open_session(0, "latest");
+    sim.send_request(0, session, false);
+    sim.run(ms(100));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -71,17 +71,50 @@
             return self.request_connection(vm, id, true);
         }
         self.open_connections[instance] += 1;
+        if self.connect_time.is_zero() {
+            return self.send_statement(vm, id, grant);
+        }
+        self.schedule(
+            self.connect_time,
+            Delivery::Connected(vm, id, grant.clone()),
+        );
+    }
+
+    /// Sends the statement over a connection that has been opened, unless its precondition
+    /// is not met any more.
+    pub(super) fn send_statement(&mut self, vm: usize, id: event::RequestId, grant: &event::Grant) {
+        let (_, is_write) = self.requests[&id];
+        let access = if is_write {
+            event::Access::Write
+        } else {
+            event::Access::Read
+        };
+        let session = event::SessionId(id.0 >> 24);
+        let now = self.local_time(vm);
+        let precondition = self.daemons[vm].precondition(session, &grant.instance, access, now);
+        let Some(precondition) = precondition else {
+            self.open_connections[instance_index(&grant.instance)] -= 1;
+            let outcome = event::RequestOutcome::Uncommitted;
+            self.dispatch(vm, event::Event::ConnectionReleased(id, outcome));
+            return self.request_connection(vm, id, true);
+        };
         if self.statement_time.is_zero() {
-            return self.complete(vm, id, grant);
+            return self.complete(vm, id, grant, precondition.floor);
         }
         self.schedule(
             self.statement_time,
-            Delivery::Complete(vm, id, grant.clone()),
+            Delivery::Complete(vm, id, grant.clone(), precondition.floor),
         );
     }
 
     /// Completes the statement at the instance and closes the connection.
-    pub(super) fn complete(&mut self, vm: usize, id: event::RequestId, grant: &event::Grant) {
+    pub(super) fn complete(
+        &mut self,
+        vm: usize,
+        id: event::RequestId,
+        grant: &event::Grant,
+        floor: Option<position::Position>,
+    ) {
         let instance = instance_index(&grant.instance);
         let (_, is_write) = self.requests[&id];
         self.open_connections[instance] -= 1;
@@ -93,7 +126,7 @@
             );
             return self.request_connection(vm, id, true);
         }
-        if let Some(floor) = grant.floor.filter(|f| f.lsn.0 > status.replayed.0) {
+        if let Some(floor) = floor.filter(|f| f.lsn.0 > status.replayed.0) {
             let behind = event::RequestOutcome::BehindFloor(floor);
             self.dispatch(vm, event::Event::ConnectionReleased(id, behind));
             return self.request_connection(vm, id, true);
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -69,7 +69,13 @@
     OrderPromotion(usize, event::PromotionOrder),
     Promote(usize),
     Execute(usize, event::RequestId, event::Grant),
-    Complete(usize, event::RequestId, event::Grant),
+    Connected(usize, event::RequestId, event::Grant),
+    Complete(
+        usize,
+        event::RequestId,
+        event::Grant,
+        Option<position::Position>,
+    ),
     FailConnection(usize, event::RequestId),
     ResumeReplication(usize, usize),
 }
@@ -143,6 +149,8 @@
     /// Highest sum over all VMs of the idle connections that they may keep to one
     /// instance.
     pub peak_idle: u32,
+    /// Time from a grant until its connection can be used.
+    pub connect_time: std_time::Duration,
     /// Time that an instance takes for a statement.
     pub statement_time: std_time::Duration,
     /// Open connections to each instance, which refuses more than its limit.
@@ -341,6 +349,7 @@
             store: store::Store::default(),
             pool_limits: collections::BTreeMap::new(),
             peak_idle: 0,
+            connect_time: std_time::Duration::ZERO,
             statement_time: std_time::Duration::ZERO,
             open_connections: vec![0; 3],
             refused_connections: 0,
--- a/components/kernel/tests/store_arbiter/network.rs
+++ b/components/kernel/tests/store_arbiter/network.rs
@@ -95,7 +95,10 @@
                 }
             }
             Delivery::Execute(vm, request, grant) => self.execute(vm, request, &grant),
-            Delivery::Complete(vm, request, grant) => self.complete(vm, request, &grant),
+            Delivery::Connected(vm, request, grant) => self.send_statement(vm, request, &grant),
+            Delivery::Complete(vm, request, grant, floor) => {
+                self.complete(vm, request, &grant, floor)
+            }
         }
     }
 
