Keep rows that the store has lost over another full read

What callers see: nothing yet. If the store drops its history between its return from an older copy and the correction of its rows, a leader, epoch or member that the copy lacks is undone although it was acknowledged.

Cause: View::apply kept lost rows only in the update that opens the era. The second full read in that era removed them, as it removes any row that it does not name.

Change: a row that is outdated in the store is not removed by a full read that lacks it; it stays outdated until the store has been corrected or has a newer one.

Considered: a row that was corrected and then removed within the dropped history is written once more and removed again.

--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -148,11 +148,7 @@
         let mut changes = update.changes;
         if update.whole {
             let removals = self.removals(part, &changes);
-            if is_restored && part == Part::Rows {
-                self.keep_lost(&removals);
-            } else {
-                changes.extend(removals);
-            }
+            changes.extend(self.without_lost(removals, is_restored));
         }
         if let Some(known) = known.filter(|_| is_restored) {
             changes = self.without_returned(changes, known);
@@ -170,13 +166,20 @@
         changed
     }
 
-    /// Keeps rows that the store has lost.
-    fn keep_lost(&mut self, removals: &[Change]) {
-        for change in removals {
-            if let Change::Row(key, _) = change {
+    /// Removals without the rows that the store has lost: rows that it lacks when it
+    /// comes back from an older copy, and rows that are still outdated in it.
+    fn without_lost(&mut self, mut removals: Vec<Change>, is_restored: bool) -> Vec<Change> {
+        removals.retain(|change| {
+            let Change::Row(key, _) = change else {
+                return true;
+            };
+            let is_lost = is_restored || self.outdated_rows.contains_key(key);
+            if is_lost {
                 self.outdated_rows.insert(key.clone(), 0);
             }
-        }
+            !is_lost
+        });
+        removals
     }
 
     /// Changes without what only the copy still has: instances that stay although they
