Keep removed members removed over another full read

What callers see: if the store drops its history after its return and before its rows are corrected, a VM that has ended is listed again; it would get a share of the budgets until it is removed once more, after 4.5 s of silence and 1.5 s of doubt. If the rows were corrected within the dropped history, their correction is sent again every 1.5 s and refused, for as long as the VM runs.

Cause: View::apply told removed members from new ones only in the update that opens the era. A second full read took the copy's row as a new one. Entries for rows that neither the view nor the store has were never dropped.

Evidence: a_removed_member_in_the_copy_stays_removed_over_another_full_read, which failed before at its first assertion in the second round ("left: Some((1.3, Member(..)))").

Change: a member row that is outdated in the store and unknown to the view stays removed until the store has a newer one. A full read forgets outdated rows that neither side has.

--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -143,16 +143,17 @@
         if known.is_some_and(|known| version < known) {
             return false;
         }
-        let is_restored = known.is_some_and(|known| era(version) > era(known));
+        let restored_from = known.filter(|known| era(version) > era(*known));
         self.known_versions.insert(part, version);
         let mut changes = update.changes;
         if update.whole {
+            if part == Part::Rows {
+                self.forget_corrected(&changes);
+            }
             let removals = self.removals(part, &changes);
-            changes.extend(self.without_lost(removals, is_restored));
-        }
-        if let Some(known) = known.filter(|_| is_restored) {
-            changes = self.without_returned(changes, known);
+            changes.extend(self.without_lost(removals, restored_from.is_some()));
         }
+        changes = self.without_returned(changes, restored_from);
         let mut changed = false;
         for change in changes {
             if self.apply_change(change.clone(), now) {
@@ -182,12 +183,28 @@
         removals
     }
 
+    /// Forgets outdated rows that neither this view nor the store has.
+    fn forget_corrected(&mut self, changes: &[Change]) {
+        let named = changes.iter().filter_map(|change| match change {
+            Change::Row(key, _) => Some(key),
+            _ => None,
+        });
+        let named: collections::BTreeSet<_> = named.collect();
+        let rows = &self.rows;
+        self.outdated_rows
+            .retain(|key, _| rows.contains_key(key) || named.contains(key));
+    }
+
     /// Changes without what only the copy still has: instances that stay although they
-    /// are known to leave, and rows of VMs that were removed before the version
-    /// `known`.
-    fn without_returned(&mut self, mut changes: Vec<Change>, known: u64) -> Vec<Change> {
+    /// are known to leave, and rows of VMs that were removed. `restored_from` is the
+    /// known version of the earlier era if the store has just come back.
+    fn without_returned(
+        &mut self,
+        mut changes: Vec<Change>,
+        restored_from: Option<u64>,
+    ) -> Vec<Change> {
         changes.retain_mut(|change| match change {
-            Change::Instance(name, Some(entry)) => {
+            Change::Instance(name, Some(entry)) if restored_from.is_some() => {
                 let previous = self.instances.get(name);
                 let leaves = |previous: &Registration| previous.leaving;
                 let same = previous.filter(|previous| previous.born == entry.born);
@@ -195,7 +212,9 @@
                 true
             }
             Change::Row(key @ event::RowKey::Member(_), Some((version, _))) => {
-                let was_removed = *version <= known && !self.rows.contains_key(key);
+                let removed = restored_from.max(self.outdated_rows.get(key).copied());
+                let is_older = removed.is_some_and(|removed| *version <= removed);
+                let was_removed = is_older && !self.rows.contains_key(key);
                 if was_removed {
                     self.outdated_rows.insert(key.clone(), *version);
                 }
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -303,6 +303,63 @@
     assert!(read(2, 4, Vec::new()));
 }
 
+/// Applies a read of the rows to a view.
+fn read_rows(
+    view: &mut kernel::view::View,
+    (era, number): (u64, u64),
+    whole: bool,
+    changes: Vec<kernel::view::Change>,
+) {
+    let version = version::Version::try_from((era, number)).expect("in range");
+    let update = kernel::view::Update {
+        part: kernel::view::Part::Rows,
+        proven_at: kernel::time::Time::from_ms(1),
+        version: version.into(),
+        whole,
+        changes,
+    };
+    view.apply(update, kernel::time::Time::from_ms(1));
+}
+
+#[test]
+fn a_removed_member_in_the_copy_stays_removed_over_another_full_read() {
+    let version = |era, number| version::Version::try_from((era, number)).expect("in range");
+    let entry = event::MemberEntry {
+        vm: event::Vm {
+            name: name("vm-1"),
+            domain: name("domain-1"),
+            region: name("home"),
+            peer: "127.0.0.1:1".into(),
+            leaving: false,
+        },
+        incarnation: 1,
+        released: true,
+        doubted: false,
+    };
+    let row = event::Row::Member(entry);
+    let key = row.key();
+    let written = |era, number| {
+        let written = (version(era, number).into(), row.clone());
+        kernel::view::Change::Row(key.clone(), Some(written))
+    };
+    let mut view = kernel::view::View::default();
+    read_rows(&mut view, (1, 3), true, vec![written(1, 3)]);
+    let removal = kernel::view::Change::Row(key.clone(), None);
+    read_rows(&mut view, (1, 6), false, vec![removal]);
+    for _ in 0..2 {
+        read_rows(&mut view, (2, 4), true, vec![written(1, 3)]);
+        assert_eq!(view.row(&key), None);
+        let stored = view.outdated_rows().map(|(_, stored, _)| stored);
+        assert_eq!(stored.collect::<Vec<_>>(), [u64::from(version(1, 3))]);
+    }
+    // The store has been corrected, but its history has been dropped.
+    read_rows(&mut view, (2, 5), true, Vec::new());
+    assert_eq!(view.outdated_rows().count(), 0);
+    // The VM has registered again.
+    read_rows(&mut view, (2, 6), true, vec![written(2, 6)]);
+    assert!(view.row(&key).is_some());
+}
+
 // Reads and writes after the restore must not grow with the fleet.
 #[test]
 fn a_restore_in_a_large_region_causes_few_calls() {
