Keep a leaving instance leaving over another full read

What callers see: if the store drops its history after its return and before an instance has written its entry again, the VMs take the instance as staying: a primary that is about to stop is not replaced, and callers are sent to it until it writes.

Cause: View::apply kept what is known about a leaving instance only in the update that opens the era; the same fault as that of removed members.

Change: the view remembers instances that the copy states to stay although they are known to leave. A full read does not change them; a single change, which the instance wrote in the new era, does.

Ruled out: keeping "leaving" for as long as the entry names the same start of the process. An entry may name none, and a new process under the same name would never be used.

--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -119,6 +119,9 @@
     /// their versions there; 0 if the store lacks the row. If this view lacks the row,
     /// it was removed after the copy was made.
     outdated_rows: collections::BTreeMap<event::RowKey, u64>,
+    /// Instances that are known to leave, which the store does not state because it came
+    /// back from an older copy.
+    outdated_instances: collections::BTreeSet<Name>,
     change_log: change_log::Log,
 }
 
@@ -153,7 +156,7 @@
             let removals = self.removals(part, &changes);
             changes.extend(self.without_lost(removals, restored_from.is_some()));
         }
-        changes = self.without_returned(changes, restored_from);
+        changes = self.without_returned(changes, update.whole, restored_from);
         let mut changed = false;
         for change in changes {
             if self.apply_change(change.clone(), now) {
@@ -201,14 +204,23 @@
     fn without_returned(
         &mut self,
         mut changes: Vec<Change>,
+        is_whole: bool,
         restored_from: Option<u64>,
     ) -> Vec<Change> {
         changes.retain_mut(|change| match change {
-            Change::Instance(name, Some(entry)) if restored_from.is_some() => {
+            Change::Instance(name, Some(entry)) => {
+                let is_copied =
+                    restored_from.is_some() || is_whole && self.outdated_instances.contains(name);
                 let previous = self.instances.get(name);
-                let leaves = |previous: &Registration| previous.leaving;
-                let same = previous.filter(|previous| previous.born == entry.born);
-                entry.leaving |= same.is_some_and(leaves);
+                let leaves = |previous: &Registration| {
+                    previous.leaving && !entry.leaving && previous.born == entry.born
+                };
+                if is_copied && previous.is_some_and(leaves) {
+                    entry.leaving = true;
+                    self.outdated_instances.insert(name.clone());
+                } else {
+                    self.outdated_instances.remove(name);
+                }
                 true
             }
             Change::Row(key @ event::RowKey::Member(_), Some((version, _))) => {
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -360,6 +360,37 @@
     assert!(view.row(&key).is_some());
 }
 
+#[test]
+fn an_instance_in_the_copy_stays_leaving_over_another_full_read() {
+    let mut view = kernel::view::View::default();
+    let mut read = |whole, era, number, leaving| {
+        let version = version::Version::try_from((era, number)).expect("in range");
+        let entry = kernel::view::Registration {
+            group: name("orders"),
+            address: ([127, 0, 0, 1], 5000).into(),
+            domain: name("domain-0"),
+            leaving,
+            leads: false,
+            born: 1,
+        };
+        let update = kernel::view::Update {
+            part: kernel::view::Part::Instances,
+            proven_at: kernel::time::Time::from_ms(1),
+            version: version.into(),
+            whole,
+            changes: vec![kernel::view::Change::Instance(name("db-0"), Some(entry))],
+        };
+        view.apply(update, kernel::time::Time::from_ms(1));
+        view.registration("db-0").is_some_and(|entry| entry.leaving)
+    };
+    assert!(!read(true, 1, 3, false));
+    assert!(read(false, 1, 5, true));
+    assert!(read(true, 2, 4, false));
+    assert!(read(true, 2, 4, false));
+    // Another process has registered under the name.
+    assert!(!read(false, 2, 5, false));
+}
+
 // Reads and writes after the restore must not grow with the fleet.
 #[test]
 fn a_restore_in_a_large_region_causes_few_calls() {
