Take no configuration that the store brings back as newer than the peers'

What callers see: a VM that starts after the store has come back from an older copy, and before the operator has written its configuration again, accepts a key that was withdrawn after the copy was made. The same holds for a VM that was cut off while the key was withdrawn.

Cause: a read of the store proves the configuration that it returns. In a new era the store may return one that is older than the newest that was acknowledged. A VM that has seen the newer one keeps it; a VM that starts has nothing to compare.

Evidence: a_vm_that_starts_on_the_copy_accepts_no_withdrawn_key: the store returns with the key, the operator stays away for 3 s, a VM starts 0 to 150 ms after the return. Now none is granted until the operator writes; the VM is ready within 300 ms of that, and the other VMs stay ready throughout.

Change: reports name the revision in force already. A read that is proven later than a peer's report of a newer revision, and does not return it, proves nothing. In one era there is no such read, since the peer has read the revision from the store, so nothing is refused or read in addition. A VM that has not been ready yet needs the newest revision that any peer names, whenever it has read its own. It hears peers before it serves keyed requests, since they have to confirm its shares.

Ruled out: waiting for the operator to write in each era (the copy may be complete, and then nothing need be written); a read at each start after the first report (one call more for each of 3,800 VMs); ages of revisions in reports (the exchange of a large region would grow).

Not covered: a fleet of which all VMs are new, and a VM that was cut off and hears the store before any peer. A revision that the store lost before the operator had its answer has to be written again, else VMs that have not seen it stay without proof.

--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -191,6 +191,7 @@
 
     fn handle_ping(&mut self, from: &Name, sent: time::Time, report: &message::Report) {
         self.members.handle_ping(from, self.now, report);
+        self.record_revisions(report);
         self.activate_shares();
         let own = self.full_report();
         self.send(from.clone(), message::Message::Pong(sent, own));
@@ -205,6 +206,7 @@
         let is_current = |r: u64, e: u64| store_arbitrates || (r <= revision && e <= epoch);
         self.members
             .handle_pong(from, self.now, sent, report, &is_current);
+        self.record_revisions(report);
         self.merge_positions(sent, &report.positions);
         self.sync_with_peer(from, report);
         self.step_revisions();
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -435,6 +435,9 @@
 
     fn record_readiness(&mut self) {
         let lacks = self.unready_reason();
+        if lacks.is_none() {
+            self.mark_ready();
+        }
         if lacks != self.unready_reason {
             self.unready_reason = lacks;
             self.record_decision(journal::Decision::Readiness { lacks });
--- a/components/kernel/src/membership.rs
+++ b/components/kernel/src/membership.rs
@@ -193,6 +193,12 @@
         self.store_proof = self.store_proof.max(Some(sent));
     }
 
+    /// Sets the time at which the store is proven to have had nothing newer than the view
+    /// of this daemon.
+    pub fn set_store_proof(&mut self, proven_at: Option<time::Time>) {
+        self.store_proof = proven_at;
+    }
+
     /// VMs to ping now; none unless the period has passed or `at_once` is set.
     pub fn take_due_targets(&mut self, now: time::Time, at_once: bool) -> Vec<Name> {
         let period = self.current_period(now);
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -33,6 +33,8 @@
     /// Version at which this incarnation's row was written.
     registered_version: Option<u64>,
     was_listed: bool,
+    /// Whether this VM has been ready before.
+    was_ready: bool,
     last_eviction: time::Time,
     /// Doubted rows: version, and when the row was first seen with it.
     doubts: collections::BTreeMap<Name, (u64, time::Time)>,
@@ -85,12 +87,40 @@
         if changed {
             self.notify_followers();
         }
+        self.refresh_store_proof();
+        self.refresh_assignments();
+    }
+
+    fn refresh_store_proof(&mut self) {
         let configured = self.view.proven_at(view::Part::Configuration);
         let listed = self.view.proven_at(view::Part::Rows);
-        if let (Some(configured), Some(listed)) = (configured, listed) {
-            self.members.confirm_store_read(configured.min(listed));
+        let proof = configured.zip(listed);
+        self.members
+            .set_store_proof(proof.map(|(configured, listed)| configured.min(listed)));
+    }
+
+    /// Records the revisions that a peer's report names. A VM that has not been ready
+    /// before may have read the configuration from a store that has lost a revision, so
+    /// it needs the newest that any peer names. Later, reads after the report do.
+    pub(crate) fn record_revisions(&mut self, report: &message::Report) {
+        if self.arbiter == group::Arbiter::Instances {
+            return;
         }
-        self.refresh_assignments();
+        let heard = report.heard.iter().map(|heard| heard.revision);
+        let common = report.common.iter().map(|common| common.revision);
+        let newest = heard.chain(common).chain([report.revision]).max();
+        let since = if self.store_watch.was_ready {
+            self.now
+        } else {
+            time::Time::default()
+        };
+        self.view.record_revision(newest.unwrap_or_default(), since);
+        self.refresh_store_proof();
+    }
+
+    /// Records that this VM is ready.
+    pub(crate) fn mark_ready(&mut self) {
+        self.store_watch.was_ready = true;
     }
 
     /// Records the first of successive reads that return an older state.
--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -112,6 +112,9 @@
     proofs: collections::BTreeMap<Part, time::Time>,
     known_versions: collections::BTreeMap<Part, u64>,
     document: Option<sync::Arc<Document>>,
+    /// Newer revisions that other VMs have in force, with the time from which the store
+    /// has to return them.
+    reported_revisions: collections::BTreeMap<u64, time::Time>,
     instances: collections::BTreeMap<Name, Registration>,
     lapsed: lapsed::Lapsed,
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
@@ -141,8 +144,10 @@
         if known.is_some_and(|known| era(version) < era(known)) {
             return false;
         }
-        let proof = self.proofs.entry(part).or_default();
-        *proof = (*proof).max(update.proven_at);
+        if part != Part::Configuration || !self.lacks_revision(&update) {
+            let proof = self.proofs.entry(part).or_default();
+            *proof = (*proof).max(update.proven_at);
+        }
         if known.is_some_and(|known| version < known) {
             return false;
         }
@@ -170,6 +175,40 @@
         changed
     }
 
+    /// Records that another VM has a revision in force: a read of the store at `since` or
+    /// later that does not return the revision proves nothing, since the store has
+    /// lost the revision.
+    pub fn record_revision(&mut self, revision: u64, since: time::Time) {
+        if revision > self.revision() {
+            let known = self.reported_revisions.entry(revision).or_insert(since);
+            *known = (*known).min(since);
+        }
+    }
+
+    /// Whether the store has lost a revision that an update, once it is applied, should
+    /// have brought.
+    fn lacks_revision(&self, update: &Update) -> bool {
+        let offered = update.changes.iter().filter_map(|change| match change {
+            Change::Configuration(document) => Some(document.revision),
+            _ => None,
+        });
+        let revision = offered.chain([self.revision()]).max();
+        self.is_outdated(revision.unwrap_or_default(), update.proven_at)
+    }
+
+    /// Whether a revision was no longer the newest one at a time.
+    fn is_outdated(&self, revision: u64, at: time::Time) -> bool {
+        let mut newer = self.reported_revisions.iter();
+        newer.any(|(reported, since)| *reported > revision && *since <= at)
+    }
+
+    /// Number of the newest known revision.
+    fn revision(&self) -> u64 {
+        self.document
+            .as_ref()
+            .map_or(0, |document| document.revision)
+    }
+
     /// Removals without the rows that the store has lost: rows that it lacks when it
     /// comes back from an older copy, and rows that are still outdated in it.
     fn without_lost(&mut self, mut removals: Vec<Change>, is_restored: bool) -> Vec<Change> {
@@ -315,6 +354,9 @@
                     .as_ref()
                     .is_none_or(|current| current.revision < document.revision);
                 if newer {
+                    let revision = document.revision;
+                    self.reported_revisions
+                        .retain(|reported, _| *reported > revision);
                     self.document = Some(document);
                 }
                 newer
@@ -353,7 +395,9 @@
 
     /// Latest time at which the state of a part is proven to have held.
     pub fn proven_at(&self, part: Part) -> Option<time::Time> {
-        self.proofs.get(&part).copied()
+        let proof = self.proofs.get(&part).copied()?;
+        let is_refuted = part == Part::Configuration && self.is_outdated(self.revision(), proof);
+        (!is_refuted).then_some(proof)
     }
 
     /// Configuration with the instances that have registered.
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -391,6 +391,38 @@
     assert!(!read(false, 2, 5, false));
 }
 
+// The store comes back with the key, and the operator writes only later.
+#[test]
+fn a_vm_that_starts_on_the_copy_accepts_no_withdrawn_key() {
+    for delay in 0..6 {
+        let mut sim = Simulation::new(&Options::default());
+        let copy = sim.store.copy();
+        sim.revision += 1;
+        sim.key_withdrawn = true;
+        sim.run(ms(1000));
+        sim.is_operator_away = true;
+        sim.cut_store.extend(0..3);
+        sim.run(ms(500));
+        sim.store.restore(copy);
+        sim.cut_store.clear();
+        sim.run(ms(30 * delay));
+        sim.restart(2);
+        for _ in 0..60 {
+            let session = sim.open_session(2, "keyed");
+            sim.send_request(2, session, false);
+            sim.run(ms(50));
+            assert!(sim.daemons[0].is_ready() && sim.daemons[1].is_ready());
+        }
+        assert_eq!(sim.grants, [], "delay {delay}: {:?}", sim.decisions);
+        sim.is_operator_away = false;
+        sim.run(ms(300));
+        for daemon in &sim.daemons {
+            assert!(daemon.is_ready(), "delay {delay}: {:?}", sim.decisions);
+            assert_eq!(daemon.revision(), sim.revision);
+        }
+    }
+}
+
 // Reads and writes after the restore must not grow with the fleet.
 #[test]
 fn a_restore_in_a_large_region_causes_few_calls() {
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -133,6 +133,8 @@
     pub connections: u32,
     /// Whether the customer's key has been withdrawn.
     pub key_withdrawn: bool,
+    /// Whether the operator does not write its configuration.
+    pub is_operator_away: bool,
     pub store: store::Store,
     /// Idle connections that a VM may keep, by VM and instance.
     pool_limits: collections::BTreeMap<(usize, usize), u32>,
@@ -333,6 +335,7 @@
             rate_limit: options.rate_limit,
             connections: options.connections,
             key_withdrawn: false,
+            is_operator_away: false,
             store: store::Store::default(),
             pool_limits: collections::BTreeMap::new(),
             peak_idle: 0,
--- a/components/kernel/tests/store_arbiter/store.rs
+++ b/components/kernel/tests/store_arbiter/store.rs
@@ -162,7 +162,8 @@
         let document = document(self);
         let instances = self.registrations();
         let data = &mut self.store.data;
-        if data.configuration.1.as_ref() != Some(&document) {
+        let is_changed = data.configuration.1.as_ref() != Some(&document);
+        if is_changed && !self.is_operator_away {
             data.number += 1;
             data.configuration = (data.version(), Some(document));
         }
