Give up a claim when a later one is known

What callers see: the platform gets a promotion order with a lower fencing token after one with a higher token, and may promote a second instance while another VM's replacement is under way.

Cause: the store loses a claim whose holder cannot reach the store any more. Other VMs claim the group again, with a higher token, and ask the holder to stop using the leader. The holder answers that it has stopped, but goes on ordering until it has not read the store for 4.5 s: only the row, which it cannot read, ended its claim. Within one era nobody claims before the earlier claim has expired.

Evidence: a_holder_without_the_store_orders_nothing_after_a_later_claim, with orders of the holder that take 5, 100, 400 and 1000 ms.

Change: an attempt is given up when a later token is known, and a VM reports that it has stopped only after its order under way has been answered. An order under way ends no attempt before its answer (the call has a limit of its own), whatever else has changed.

--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -281,8 +281,19 @@
         out
     }
 
-    /// Stops the use of the old leader on this VM.
+    /// Whether a later claim than that of the attempt is known.
+    fn is_overtaken(&self, attempt: &Attempt) -> bool {
+        attempt.token.is_some_and(|token| token < self.token)
+    }
+
+    /// Stops the use of the old leader on this VM. An order of an earlier claim has to be
+    /// answered first.
     fn close_locally(&mut self, context: &Context<'_>, out: &mut Vec<Step>) {
+        let is_ordering =
+            |attempt: &Attempt| self.is_overtaken(attempt) && attempt.awaits_order(context.now);
+        if self.attempt.as_ref().is_some_and(is_ordering) {
+            return;
+        }
         let Some(closing) = self.closing.as_mut().filter(|closing| !closing.is_done) else {
             return;
         };
@@ -453,6 +464,9 @@
             out.push(Step::Note(Note::GivenUp { why }));
             None
         };
+        if attempt.awaits_order(context.now) {
+            return Some(attempt);
+        }
         let is_row_newer = attempt
             .token
             .is_some_and(|token| context.row_version > token);
@@ -472,7 +486,7 @@
         if attempt.era != context.era {
             return self.claim_again(&attempt, context, out);
         }
-        if is_row_newer {
+        if is_row_newer || self.is_overtaken(&attempt) {
             return give_up(out, Reason::Overtaken);
         }
         if !context.is_eligible && !matches!(attempt.stage, Stage::Recording { .. }) {
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -76,7 +76,7 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
-    /// Another VM has changed the group's row.
+    /// Another VM has changed the group's row, or has made a later claim.
     #[display("another VM has changed the row")]
     Overtaken,
     /// The store did not answer.
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -67,6 +67,16 @@
     pub(super) stage: Stage,
 }
 
+impl Attempt {
+    /// Whether an order is under way that the platform has not answered.
+    pub(super) fn awaits_order(&self, now: time::Time) -> bool {
+        match &self.stage {
+            Stage::Ordering { sent, .. } => sent.is_some_and(|sent| sent > now),
+            _ => false,
+        }
+    }
+}
+
 pub(super) fn start_pausing(now: time::Time) -> Stage {
     Stage::Pausing {
         since: now,
@@ -228,7 +238,7 @@
         fencing_token: token,
         deadline: attempt.claim_sent + CLAIM_LIFETIME,
     }));
-    // Repeated only after an answer, or after the time limit of the call.
+    // Dated ahead: repeated only after an answer, or after the time limit of the call.
     Stage::Ordering {
         candidates,
         sent: Some(context.now + CLAIM_LIFETIME),
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -423,6 +423,65 @@
     }
 }
 
+/// Sends writes until a VM has recorded a decision that contains the text; returns
+/// the VM.
+fn write_until(sim: &mut Simulation, text: &str) -> usize {
+    let sessions: Vec<_> = (0..sim.daemons.len())
+        .map(|vm| sim.open_session(vm, "latest"))
+        .collect();
+    let vm = (0..600).find_map(|step| {
+        for (vm, session) in sessions.iter().enumerate().filter(|_| step % 10 == 0) {
+            sim.send_request(vm, *session, true);
+        }
+        sim.run(ms(5));
+        let found = sim
+            .decisions
+            .iter()
+            .find(|(_, _, line)| line.contains(text));
+        found.map(|(_, vm, _)| *vm)
+    });
+    vm.unwrap_or_else(|| panic!("no decision contains {text:?}: {:?}", sim.decisions))
+}
+
+/// Lets a VM order promotions whose claim the store has lost, while another VM claims.
+fn order_after_lost_claim(cut_peers: bool, order_delay: u64) -> Simulation {
+    let mut sim = Simulation::new(&Options::default());
+    write_for(&mut sim, 500);
+    let copy = sim.store.copy();
+    sim.instances[0].is_alive = false;
+    let holder = write_until(&mut sim, "claiming");
+    sim.order_delays.insert(holder, ms(order_delay));
+    sim.cut_store.extend((0..3).filter(|vm| *vm != holder));
+    if cut_peers {
+        sim.cut_peers.insert(holder);
+    }
+    write_until(&mut sim, "claimed with token");
+    // No order is answered.
+    sim.lose_orders = usize::MAX;
+    sim.cut_store.extend(0..3);
+    write_for(&mut sim, 100);
+    sim.store.restore(copy);
+    sim.cut_store.retain(|vm| *vm == holder);
+    write_for(&mut sim, 6000);
+    sim.lose_orders = 0;
+    sim.cut_store.clear();
+    sim.cut_peers.clear();
+    write_for(&mut sim, 6000);
+    let orders = sim.promotion_orders.iter();
+    let tokens: std::collections::BTreeSet<_> = orders.map(|(token, _)| *token).collect();
+    assert!(tokens.len() > 1, "{:?}", sim.decisions);
+    sim
+}
+
+#[test]
+fn a_holder_without_the_store_orders_nothing_after_a_later_claim() {
+    for order_delay in [5, 100, 400, 1000] {
+        let sim = order_after_lost_claim(false, order_delay);
+        assert_eq!(sim.violations, Vec::<String>::new(), "{:?}", sim.decisions);
+        assert!(sim.leader().is_some_and(|leader| leader != 0));
+    }
+}
+
 // Reads and writes after the restore must not grow with the fleet.
 #[test]
 fn a_restore_in_a_large_region_causes_few_calls() {
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -101,6 +101,8 @@
     order_senders: Vec<(usize, u64)>,
     /// Number of further promotion orders whose answers are lost.
     pub lose_orders: usize,
+    /// VMs whose promotion orders take longer to reach the platform, with the time.
+    pub order_delays: collections::BTreeMap<usize, std_time::Duration>,
     pub violations: Vec<String>,
     pub decisions: Vec<(time::Time, usize, String)>,
     pub acknowledged: Vec<time::Time>,
@@ -316,6 +318,7 @@
             promotion_orders: Vec::new(),
             order_senders: Vec::new(),
             lose_orders: 0,
+            order_delays: collections::BTreeMap::new(),
             violations: Vec::new(),
             decisions: Vec::new(),
             acknowledged: Vec::new(),
@@ -500,7 +503,8 @@
             event::Action::RestoreRows(changes) => self.queue_write(vm, Write::Restore(changes)),
             event::Action::OrderPromotion(order) => {
                 if self.now < order.deadline {
-                    self.schedule(LINK_DELAY, Delivery::OrderPromotion(vm, order));
+                    let delay = self.order_delays.get(&vm).copied().unwrap_or(LINK_DELAY);
+                    self.schedule(delay, Delivery::OrderPromotion(vm, order));
                 } else {
                     let rejected =
                         event::Event::PromotionOrdered(order.group, event::OrderOutcome::Rejected);
