Wait out the orders of a claim that the store has lost

Cause: a VM that claims waits for a silent VM until the silent one's leader has expired (lease and 0.3 s after the claim). That the silent VM holds a claim was ruled out by the claim's row, which the store may have lost. Such a holder orders until it has not read the store for 4.5 s.

Evidence: a_holder_cut_off_over_a_restore_orders_nothing_after_a_later_claim, which failed before ("a promotion order carried an old fencing token", eleven orders by turns).

Change: after a restore a claiming VM waits for silent VMs until the time without a read after which a VM orders nothing, and the time limit of an order, have passed since it saw the new era: 5.7 s. A VM that held the last claim itself does not, since no other VM held one. Where all listed VMs answer, nothing changes.

Cost: a leader that is lost together with a listed VM, and claimed within 1.9 s of the store's return, is replaced up to 1.9 s later than before. Ruled out: that a holder stops ordering when its view is older than the lease: a store outage would then stop a replacement that has to wait out a silent VM.

Not covered: a VM that starts after the return and claims within that time, since it does not know that the store came back.

--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -27,9 +27,11 @@
 /// Time after sending for which a claim may be used. It covers the wait for a
 /// silent VM, the pause of the replicas and one promotion order.
 const CLAIM_LIFETIME: std_time::Duration = std_time::Duration::from_millis(6_500);
+/// Time limit of an order, with time for it to arrive.
+const ORDER_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_200);
 /// Age at which another VM takes over a claim: the lifetime of the claim, plus
 /// the time limit of an order that was sent at the end of that lifetime.
-const TAKEOVER_AGE: std_time::Duration = std_time::Duration::from_millis(7_700);
+const TAKEOVER_AGE: std_time::Duration = CLAIM_LIFETIME.saturating_add(ORDER_TIMEOUT);
 /// Time beyond the lease for bytes that a silent VM has already sent to arrive.
 const CLOSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(300);
 /// Period at which VMs that have not closed are asked again.
@@ -105,8 +107,12 @@
     pub leader: Option<leader::Leader>,
     /// Number of requests that still run at the leader that is being closed.
     pub running: usize,
+    /// When the store was first seen to have come back from an older copy.
+    pub restored_at: Option<time::Time>,
     /// Time for which a view of the store is valid.
     pub lease: std_time::Duration,
+    /// Time without a read of the store after which a VM replaces no leader.
+    pub refusal_timeout: std_time::Duration,
     /// Silence after which the leader counts as lost.
     pub silence_limit: std_time::Duration,
     /// State of the group.
@@ -139,6 +145,14 @@
     closing: Option<Closing>,
     claim_seen: Option<(leader::Claim, time::Time)>,
     last_number: u64,
+    /// When this VM sent its last claim that the store accepted, if nobody has changed
+    /// the row since.
+    claimed_at: Option<time::Time>,
+    /// Restore of the store to which `orders_until` refers.
+    restored_at: Option<time::Time>,
+    /// Time until which a silent VM may order promotions by a claim that the store has
+    /// lost.
+    orders_until: time::Time,
     attempt: Option<Attempt>,
     resume: Resume,
 }
@@ -194,6 +208,7 @@
             return;
         }
         self.token = claim.token;
+        self.claimed_at = None;
         self.closing = Some(Closing {
             requester,
             claim: claim.clone(),
@@ -272,6 +287,7 @@
     /// Returns the next steps.
     pub fn step(&mut self, context: &Context<'_>) -> Vec<Step> {
         let mut out = Vec::new();
+        self.record_restore(context);
         self.close_locally(context, &mut out);
         self.resume.step(context, &mut out);
         match self.attempt.take() {
@@ -281,6 +297,19 @@
         out
     }
 
+    /// Records that the store has come back from an older copy, in which claims are
+    /// missing. If this VM held the last claim, no other VM holds a missing one.
+    fn record_restore(&mut self, context: &Context<'_>) {
+        if self.restored_at == context.restored_at {
+            return;
+        }
+        self.restored_at = context.restored_at;
+        let holds = |at: time::Time| self.claimed_at.is_some_and(|sent| at < sent + TAKEOVER_AGE);
+        if let Some(at) = self.restored_at.filter(|at| !holds(*at)) {
+            self.orders_until = at + context.refusal_timeout + ORDER_TIMEOUT;
+        }
+    }
+
     /// Whether a later claim than that of the attempt is known.
     fn is_overtaken(&self, attempt: &Attempt) -> bool {
         attempt.token.is_some_and(|token| token < self.token)
@@ -476,6 +505,9 @@
             }
             _ => false,
         };
+        if is_row_newer {
+            self.claimed_at = None;
+        }
         if is_row_newer && is_recorded {
             if let Some(old_leader) = &attempt.old_leader {
                 out.push(Step::Demote(old_leader.clone(), attempt.term.next()));
@@ -603,6 +635,7 @@
             context.now,
         );
         out.push(Step::StopUsing);
+        self.claimed_at = Some(attempt.claim_sent);
         self.close_locally(context, out);
         attempt.stage = Stage::Closing {
             since: context.now,
@@ -623,7 +656,9 @@
         waiting.retain(|vm| context.peers.contains(vm));
         let waited = context.now.since(since);
         let is_closed = self.closing.as_ref().is_none_or(|closing| closing.is_done);
-        if waited >= context.lease + CLOSE_MARGIN || (is_closed && waiting.is_empty()) {
+        let silent_until = since + context.lease + CLOSE_MARGIN;
+        let is_waited_out = context.now >= silent_until.max(self.orders_until);
+        if is_waited_out || (is_closed && waiting.is_empty()) {
             out.push(Step::Note(Note::Closed {
                 waited_ms: time::micros(waited) / 1000,
                 silent: waiting.len(),
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -56,6 +56,11 @@
         new
     }
 
+    /// When the store was first seen to have come back from an older copy.
+    pub fn restored_at(&self) -> Option<time::Time> {
+        self.restored_at
+    }
+
     /// Handles the answer to a registration.
     pub fn finish_registration(&mut self, stored: event::StoreOutcome) {
         match stored {
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -482,6 +482,13 @@
     }
 }
 
+#[test]
+fn a_holder_cut_off_over_a_restore_orders_nothing_after_a_later_claim() {
+    let sim = order_after_lost_claim(true, 5);
+    assert_eq!(sim.violations, Vec::<String>::new(), "{:?}", sim.decisions);
+    assert!(sim.leader().is_some_and(|leader| leader != 0));
+}
+
 // Reads and writes after the restore must not grow with the fleet.
 #[test]
 fn a_restore_in_a_large_region_causes_few_calls() {
