Test writes that are under way over a restore

A write that is sent before the store goes away may be done after its return, under a number that named another write. The sequence had no test of its own.

a_write_under_way_over_a_restore_changes_nothing_for_good: the writes of each VM in turn are held at 16 moments of a replacement, over the restore, and then done. The registrations and epochs of a VM that starts are held in the second test.

Daemon::view gives the tests access to the view; the simulated store records writes of an earlier era.

--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -238,6 +238,11 @@
         self.groups.iter().map(|(name, state)| (name, &state.group))
     }
 
+    /// View of the store on this VM.
+    pub fn view(&self) -> &view::View {
+        &self.view
+    }
+
     /// Membership as known on this VM.
     pub fn membership(&self) -> &membership::Membership {
         &self.members
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -563,3 +563,85 @@
         assert!(sim.daemons[vm].is_ready(), "VM {vm}");
     }
 }
+
+/// Checks that every VM knows the rows as the store has them.
+fn assert_same_rows(sim: &Simulation, context: &str) {
+    let mut keys = vec![event::RowKey::Epoch, event::RowKey::Leader(name("orders"))];
+    keys.extend((0..sim.daemons.len()).map(|vm| event::RowKey::Member(name(&format!("vm-{vm}")))));
+    for key in keys {
+        for (vm, daemon) in sim.daemons.iter().enumerate() {
+            let known = daemon.view().row(&key).map(|(_, row)| row);
+            assert_eq!(known, sim.store.row(&key), "{context}, VM {vm}: {key}");
+        }
+    }
+}
+
+/// Restores the store while writes of a VM are under way, and lets them be done after
+/// its return; the fleet first runs for a time span in milliseconds. Returns whether a
+/// write got a version that a VM knew for another write.
+fn restore_with_late_writes(sim: &mut Simulation, held: usize, span: u64) -> bool {
+    let copy = sim.store.copy();
+    sim.held_writers.insert(held);
+    write_for(sim, 600);
+    sim.run(ms(span));
+    restore(sim, copy, 200);
+    let keys = [event::RowKey::Epoch, event::RowKey::Leader(name("orders"))];
+    let mut known = std::collections::BTreeSet::new();
+    for (daemon, key) in sim
+        .daemons
+        .iter()
+        .flat_map(|daemon| keys.iter().map(move |key| (daemon, key)))
+    {
+        known.extend(daemon.view().row(key).map(|(version, _)| *version));
+    }
+    sim.held_writers.clear();
+    write_for(sim, 100);
+    let mut late = sim.store.late_writes.iter();
+    late.any(|version| known.contains(version))
+}
+
+// The write is sent before the store goes away, and done after its return.
+#[test]
+fn a_write_under_way_over_a_restore_changes_nothing_for_good() {
+    let mut reused_versions = 0;
+    for (held, step) in (0..3).flat_map(|held| (0..16).map(move |step| (held, step))) {
+        let context = format!("VM {held}, step {step}");
+        let mut sim = Simulation::new(&Options::default());
+        write_for(&mut sim, 500);
+        sim.instances[0].is_alive = false;
+        let is_reused = restore_with_late_writes(&mut sim, held, 40 * step);
+        reused_versions += usize::from(is_reused);
+        write_for(&mut sim, 6000);
+        assert!(sim.leader().is_some_and(|leader| leader != 0), "{context}");
+        assert_eq!(sim.violations, Vec::<String>::new(), "{context}");
+        let row = leader_row(&sim).expect("the leader is recorded");
+        assert!(row.claim.is_none(), "{context}: {:?}", sim.decisions);
+        let last = sim.acknowledged.last().copied().expect("writes go on");
+        assert!(sim.now.since(last) < ms(300), "{context}");
+        assert_same_rows(&sim, &context);
+    }
+    assert!(reused_versions > 0);
+}
+
+#[test]
+fn a_registration_or_epoch_under_way_over_a_restore_changes_nothing_for_good() {
+    let mut late_writes = 0;
+    for (held, step) in (0..3).flat_map(|held| (0..16).map(move |step| (held, step))) {
+        let context = format!("VM {held}, step {step}");
+        let mut sim = Simulation::new(&Options::default());
+        sim.restart(2);
+        sim.run(ms(5 * step));
+        restore_with_late_writes(&mut sim, held, 100 * step);
+        write_for(&mut sim, 14_000);
+        late_writes += sim.store.late_writes.len();
+        assert!(
+            sim.daemons.iter().all(kernel::Daemon::is_ready),
+            "{context}"
+        );
+        let last = sim.acknowledged.last().copied().expect("writes go on");
+        assert!(sim.now.since(last) < ms(300), "{context}");
+        assert_eq!(sim.violations, Vec::<String>::new(), "{context}");
+        assert_same_rows(&sim, &context);
+    }
+    assert!(late_writes > 0);
+}
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -110,6 +110,8 @@
     commits: Vec<(time::Time, u64)>,
     /// VMs whose writes the store does not apply, with an unknown outcome.
     pub failing_writers: collections::BTreeSet<usize>,
+    /// VMs whose writes are under way, neither applied nor answered.
+    pub held_writers: collections::BTreeSet<usize>,
     pub unknown_outcomes: usize,
     pub refusals: Vec<Cause>,
     /// Granted requests: instance, and whether the grant names it as the primary.
@@ -324,6 +326,7 @@
             acknowledged: Vec::new(),
             commits: Vec::new(),
             failing_writers: collections::BTreeSet::new(),
+            held_writers: collections::BTreeSet::new(),
             unknown_outcomes: 0,
             refusals: Vec::new(),
             grants: Vec::new(),
--- a/components/kernel/tests/store_arbiter/network.rs
+++ b/components/kernel/tests/store_arbiter/network.rs
@@ -4,7 +4,7 @@
 use kernel::{event, message, position, time};
 
 use super::{
-    CONNECT_TIMEOUT, Delivery, LINK_DELAY, PROMOTION_TIME, Simulation, instance_index, name,
+    CONNECT_TIMEOUT, Delivery, LINK_DELAY, PROMOTION_TIME, STEP, Simulation, instance_index, name,
 };
 
 impl Simulation {
@@ -83,6 +83,9 @@
                 self.schedule(LINK_DELAY, Delivery::Event(vm, event));
             }
             Delivery::FailConnection(vm, request) => self.fail_connection(vm, request),
+            Delivery::Write(vm, write) if self.held_writers.contains(&vm) => {
+                self.schedule(STEP, Delivery::Write(vm, write));
+            }
             Delivery::Write(vm, write) => self.apply_write(vm, &write),
             Delivery::OrderPromotion(vm, order) => self.order_promotion(vm, &order),
             Delivery::Promote(instance) => {
--- a/components/kernel/tests/store_arbiter/store.rs
+++ b/components/kernel/tests/store_arbiter/store.rs
@@ -19,6 +19,9 @@
     pub calls: usize,
     /// Number of refused writes.
     pub refused_writes: usize,
+    /// Versions of rows that were written in a later era than the one that their writers
+    /// stated.
+    pub late_writes: Vec<u64>,
     data: Data,
     /// Time at which the queued writes are done.
     busy_until: time::Time,
@@ -111,6 +114,9 @@
                 .set(change.era, change.key.clone(), change.row.clone());
         }
         if changes.iter().any(|change| change.era != self.data.era) {
+            let written = changes.iter();
+            let versions = written.map(|change| pack(change.era, self.data.number));
+            self.late_writes.extend(versions);
             return event::StoreOutcome::Unknown;
         }
         event::StoreOutcome::Written(self.data.version())
