Claim without further delay when the store has lost a claim

What callers see: the store loses a claim together with its holder, while the promotion is ordered and not recorded. The other VMs have been asked to stop, so they use no leader, and no voter claims the group until it has been silent for 2.6 s.

Cause: 2 s of that give a group that has never had a leader time to declare one. A VM that has stopped for a claim of an earlier era, and does not find the claim in the store, knows that the replacement has to be made again.

Evidence: a_claim_lost_with_its_holder_is_replaced_like_a_lost_leader: the holder's VM starts again at the return.

Change: without the 2 s if the known token belongs to an earlier era and the row is older. The fencing token rises, since the claim is made in the new era; a holder that lives claims first, or gives its claim up when it is asked to stop.

Ruled out: a shorter wait for a holder that stays away. The token could go down.

--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -14,7 +14,7 @@
 
 use config::Name;
 
-use crate::{event, group, leader, message, position, time, view};
+use crate::{event, group, leader, message, position, time, version, view};
 
 mod note;
 mod resume;
@@ -362,6 +362,7 @@
         }
         let silence_limit = match context.group.assignment() {
             Some(_) => context.silence_limit,
+            None if self.has_lost_claim(context) => context.silence_limit,
             None => context.silence_limit + LEADERLESS_DELAY,
         };
         if context.group.silence(context.now) < silence_limit {
@@ -382,6 +383,12 @@
         }
     }
 
+    /// Whether the store has lost the claim for which this VM has stopped using the leader.
+    fn has_lost_claim(&self, context: &Context<'_>) -> bool {
+        let era = version::Version::from(self.token).era();
+        era < context.era && context.row_version < self.token
+    }
+
     /// Number of voters that cannot reach the leader, including this VM if it
     /// votes.
     fn count_suspects(&self, context: &Context<'_>) -> usize {
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -645,3 +645,34 @@
     }
     assert!(late_writes > 0);
 }
+
+// The other VMs have been asked to stop, and have not read the claim.
+#[test]
+fn a_claim_lost_with_its_holder_is_replaced_like_a_lost_leader() {
+    let mut sim = Simulation::new(&Options::default());
+    write_for(&mut sim, 500);
+    let copy = sim.store.copy();
+    sim.instances[0].is_alive = false;
+    let holder = write_until(&mut sim, "claiming");
+    sim.cut_store.extend((0..3).filter(|vm| *vm != holder));
+    write_until(&mut sim, "ordering promotion");
+    sim.run(ms(20));
+    assert_eq!(sim.promotion_orders.len(), 1, "{:?}", sim.decisions);
+    sim.dead.insert(holder);
+    restore(&mut sim, copy, 500);
+    let returned = sim.now;
+    sim.restart(holder);
+    write_for(&mut sim, 6000);
+    let claims = sim
+        .decisions
+        .iter()
+        .filter(|(at, _, line)| line.contains("claiming") && *at > returned);
+    let claimed = claims.map(|(at, _, _)| *at).next().expect("a VM claims");
+    // The suspicion timeout, the delays of two voters and a read.
+    let limit = ms(600 + 2 * 200 + 100);
+    assert!(claimed.since(returned) <= limit, "{:?}", sim.decisions);
+    assert!(sim.leader().is_some_and(|leader| leader != 0));
+    let last = sim.acknowledged.last().copied().expect("writes go on");
+    assert!(sim.now.since(last) < ms(300), "{:?}", sim.decisions);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
