Share the tests' writes and the first replacement in the simulation

leaders.rs and restored.rs had the same function for writes through every VM, and three tests of restored.rs the same lines for a replaced leader that comes back as a replica. No test asserts anything else than before; the last two of the three now assert as well that the new leader is another instance.

--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -5,19 +5,6 @@
 
 use store_arbiter::{Options, Simulation, ms};
 
-/// Sends a write through each VM every 50 ms for a time span in milliseconds.
-fn write_for(sim: &mut Simulation, span: u64) {
-    let sessions: Vec<_> = (0..sim.daemons.len())
-        .map(|vm| sim.open_session(vm, "latest"))
-        .collect();
-    for _ in 0..span / 50 {
-        for (vm, session) in sessions.iter().enumerate() {
-            sim.send_request(vm, *session, true);
-        }
-        sim.run(ms(50));
-    }
-}
-
 /// Sends rounds of one read per session through VM 0, one round every 10 ms.
 fn read_rounds(sim: &mut Simulation, sessions: &[kernel::event::SessionId], rounds: usize) {
     for _ in 0..rounds {
@@ -31,9 +18,9 @@
 #[test]
 fn a_lost_leader_is_replaced_once() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_alive = false;
-    write_for(&mut sim, 3000);
+    sim.write_for(3000);
     assert_eq!(sim.promotion_orders.len(), 1, "{:?}", sim.decisions);
     assert!(sim.leader().is_some_and(|leader| leader != 0));
     let last = sim
@@ -52,9 +39,9 @@
 #[test]
 fn a_leader_that_leaves_is_replaced_without_losing_a_commit() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_leaving = true;
-    write_for(&mut sim, 3000);
+    sim.write_for(3000);
     assert!(sim.leader().is_some_and(|leader| leader != 0));
     assert_eq!(sim.promotion_orders.len(), 1, "{:?}", sim.decisions);
     // The new leader has received every commit of the old one.
@@ -67,9 +54,9 @@
 #[test]
 fn every_replacement_has_its_own_fencing_token() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_alive = false;
-    write_for(&mut sim, 3000);
+    sim.write_for(3000);
     let first = sim.leader().expect("an instance leads");
     // The VM that sent the order dies, so another VM sends the next one.
     let holder = sim
@@ -82,7 +69,7 @@
     sim.restart(holder);
     sim.paused.insert(holder);
     sim.instances[first].is_alive = false;
-    write_for(&mut sim, 12_000);
+    sim.write_for(12_000);
     assert_eq!(sim.promotion_orders.len(), 2, "{:?}", sim.decisions);
     assert_ne!(sim.last_order_sender(), Some(holder));
     assert_eq!(sim.violations, Vec::<String>::new());
@@ -94,9 +81,9 @@
     for replica in [1, 2] {
         sim.instances[replica].replication_cut = true;
     }
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_leaving = true;
-    write_for(&mut sim, 600);
+    sim.write_for(600);
     assert_eq!(
         sim.promotion_orders,
         Vec::new(),
@@ -105,7 +92,7 @@
     for replica in [1, 2] {
         sim.instances[replica].replication_cut = false;
     }
-    write_for(&mut sim, 3000);
+    sim.write_for(3000);
     let leader = sim.leader().expect("an instance leads");
     assert_ne!(leader, 0, "{:?}", sim.decisions);
     let acknowledged = u64::try_from(sim.acknowledged.len()).expect("the count fits");
@@ -116,13 +103,13 @@
 #[test]
 fn a_leader_that_refuses_connections_as_full_is_not_replaced() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_full = true;
-    write_for(&mut sim, 3000);
+    sim.write_for(3000);
     assert_eq!(sim.promotion_orders, Vec::new(), "{:?}", sim.decisions);
     sim.instances[0].is_full = false;
     let before = sim.acknowledged.len();
-    write_for(&mut sim, 1000);
+    sim.write_for(1000);
     assert!(sim.acknowledged.len() > before);
 }
 
@@ -131,9 +118,9 @@
 fn lapse_entries(sim: &mut Simulation, instances: &[usize]) {
     sim.longest_wait = ms(0);
     sim.lapsed_entries.extend(instances);
-    write_for(sim, 2500);
+    sim.write_for(2500);
     sim.lapsed_entries.clear();
-    write_for(sim, 2000);
+    sim.write_for(2000);
     assert_eq!(sim.refusals, [], "{:?}", sim.decisions);
     assert!(sim.longest_wait <= ms(100), "{:?}", sim.longest_wait);
 }
@@ -142,7 +129,7 @@
 fn a_leader_that_answers_is_not_replaced_when_its_entry_lapses() {
     for lapsed_entries in [&[0][..], &[0, 1, 2]] {
         let mut sim = Simulation::new(&Options::default());
-        write_for(&mut sim, 500);
+        sim.write_for(500);
         lapse_entries(&mut sim, lapsed_entries);
         assert_eq!(sim.promotion_orders, Vec::new(), "{:?}", sim.decisions);
         // Three VMs each write every 50 ms, and every write is acknowledged.
@@ -153,9 +140,9 @@
 #[test]
 fn an_appointed_leader_that_answers_is_not_replaced_when_its_entry_lapses() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_alive = false;
-    write_for(&mut sim, 3000);
+    sim.write_for(3000);
     let leader = sim.leader().expect("an instance leads");
     sim.refusals.clear();
     lapse_entries(&mut sim, &[leader]);
@@ -168,11 +155,11 @@
         let mut sim = Simulation::new(&Options::default());
         // Long enough for another instance to become the leader.
         sim.instances[0].is_leaving = leaving;
-        write_for(&mut sim, 3000);
+        sim.write_for(3000);
         sim.lapsed_entries.insert(0);
         sim.run(ms(if leaving { 100 } else { 3500 }));
         sim.grants.clear();
-        write_for(&mut sim, 500);
+        sim.write_for(500);
         let used = sim.grants.iter().any(|(instance, _)| *instance == 0);
         assert!(!used, "leaving: {leaving}");
     }
@@ -182,7 +169,7 @@
 fn one_vm_that_cannot_reach_the_leader_does_not_replace_it() {
     let mut sim = Simulation::new(&Options::default());
     sim.cut_instances.insert((1, 0));
-    write_for(&mut sim, 3000);
+    sim.write_for(3000);
     assert_eq!(sim.promotion_orders, Vec::new(), "{:?}", sim.decisions);
 }
 
@@ -214,13 +201,13 @@
         first_lease_ms,
         ..Options::default()
     });
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.cut_store.insert(0);
     sim.cut_peers.insert(0);
     for vm in [1, 2] {
         sim.cut_instances.insert((vm, 0));
     }
-    write_for(&mut sim, 5000);
+    sim.write_for(5000);
     assert!(
         !sim.promotion_orders.is_empty(),
         "the leader was not replaced: {:?}",
@@ -251,12 +238,12 @@
 #[test]
 fn a_claim_of_a_killed_vm_is_taken_over() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_alive = false;
     // Kills the VM that holds the claim as soon as the claim is in the store.
     let holder = (0..400).find_map(|_| {
         sim.run(ms(5));
-        write_for(&mut sim, 50);
+        sim.write_for(50);
         let claimed = sim
             .decisions
             .iter()
@@ -267,7 +254,7 @@
     sim.dead.insert(holder);
     sim.run(ms(500));
     sim.restart(holder);
-    write_for(&mut sim, 4000);
+    sim.write_for(4000);
     assert!(
         sim.leader().is_some_and(|leader| leader != 0),
         "{:?}",
@@ -279,10 +266,10 @@
 #[test]
 fn a_paused_claim_holder_orders_nothing_after_it_resumes() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_alive = false;
     let holder = (0..400).find_map(|_| {
-        write_for(&mut sim, 50);
+        sim.write_for(50);
         let claimed = sim
             .decisions
             .iter()
@@ -296,7 +283,7 @@
     assert!(sim.promotion_orders.len() > before || sim.leader().is_some_and(|l| l != 0));
     let orders = sim.promotion_orders.len();
     sim.paused.remove(&holder);
-    write_for(&mut sim, 2000);
+    sim.write_for(2000);
     assert_eq!(sim.promotion_orders.len(), orders, "{:?}", sim.decisions);
     assert_eq!(sim.violations, Vec::<String>::new());
 }
@@ -304,10 +291,10 @@
 #[test]
 fn an_order_whose_answer_is_lost_is_repeated_with_the_same_token() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_alive = false;
     sim.lose_orders = 1;
-    write_for(&mut sim, 4000);
+    sim.write_for(4000);
     assert!(
         sim.leader().is_some_and(|leader| leader != 0),
         "{:?}",
@@ -325,7 +312,7 @@
 #[test]
 fn reads_avoid_an_instance_that_refuses_connections() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[1].is_alive = false;
     sim.grants.clear();
     let sessions: Vec<_> = (0..8).map(|_| sim.open_session(0, "aged")).collect();
@@ -346,7 +333,7 @@
 #[test]
 fn reads_avoid_an_instance_that_does_not_answer_connections() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[1].is_unresponsive = true;
     let sessions: Vec<_> = (0..8).map(|_| sim.open_session(0, "aged")).collect();
     sim.grants.clear();
@@ -367,7 +354,7 @@
 #[test]
 fn reads_from_a_stalled_replica_respect_the_maximum_age() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[1].replication_cut = true;
     let reader = sim.open_session(2, "aged");
     let writer = sim.open_session(0, "latest");
@@ -385,7 +372,7 @@
 #[test]
 fn a_vm_that_is_not_in_its_own_view_uses_no_leader() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     // VM 2 goes on reading the store, but cannot register again.
     sim.failing_writers.insert(2);
     sim.remove_member(2);
@@ -405,7 +392,7 @@
 #[test]
 fn a_restarted_instance_is_used_at_once() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[1].is_alive = false;
     let sessions: Vec<_> = (0..8).map(|_| sim.open_session(0, "aged")).collect();
     read_rounds(&mut sim, &sessions, 300);
@@ -426,7 +413,7 @@
 #[test]
 fn replicas_serve_reads_with_a_maximum_age_without_a_leader() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[0].is_alive = false;
     let session = sim.open_session(1, "aged");
     for _ in 0..40 {
@@ -487,17 +474,17 @@
     let mut sim = Simulation::new(&Options::default());
     sim.cut_peers.insert(2);
     sim.cut_instances.insert((2, 0));
-    write_for(&mut sim, 12_000);
+    sim.write_for(12_000);
     assert_eq!(sim.promotion_orders, Vec::new(), "{:?}", sim.decisions);
 }
 
 #[test]
 fn a_promotion_order_for_the_current_leader_completes() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     // The claim names a replica as the leader, while the actual leader goes on.
     sim.write_stale_claim();
-    write_for(&mut sim, 15_000);
+    sim.write_for(15_000);
     let last = sim
         .acknowledged
         .last()
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -3,28 +3,15 @@
 #[allow(dead_code)]
 mod store_arbiter;
 
-use kernel::{event, position, version};
+use kernel::{event, version};
 use store_arbiter::{Options, Simulation, ms, name};
 
-/// Sends a write through each VM every 50 ms for a time span in milliseconds.
-fn write_for(sim: &mut Simulation, span: u64) {
-    let sessions: Vec<_> = (0..sim.daemons.len())
-        .map(|vm| sim.open_session(vm, "latest"))
-        .collect();
-    for _ in 0..span / 50 {
-        for (vm, session) in sessions.iter().enumerate() {
-            sim.send_request(vm, *session, true);
-        }
-        sim.run(ms(50));
-    }
-}
-
 /// Takes the store away for a time span in milliseconds, and brings it back from the
 /// copy.
 fn restore(sim: &mut Simulation, copy: store_arbiter::store::Data, outage: u64) {
     let all = 0..sim.daemons.len();
     sim.cut_store.extend(all);
-    write_for(sim, outage);
+    sim.write_for(outage);
     sim.store.restore(copy);
     sim.cut_store.clear();
 }
@@ -55,15 +42,15 @@
 #[test]
 fn a_change_after_a_restore_comes_into_force_on_every_vm() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let copy = sim.store.copy();
     sim.revision += 2;
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     restore(&mut sim, copy, 1000);
-    write_for(&mut sim, 200);
+    sim.write_for(200);
     sim.revision += 1;
     sim.key_withdrawn = true;
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     for daemon in &sim.daemons {
         assert_eq!(daemon.revision(), sim.revision);
         assert!(daemon.is_fresh());
@@ -98,23 +85,18 @@
 #[test]
 fn a_leader_that_was_replaced_after_the_copy_is_not_used_again() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let copy = sim.store.copy();
-    sim.instances[0].is_alive = false;
-    write_for(&mut sim, 3000);
-    let leader = sim.leader().expect("an instance leads");
-    assert_ne!(leader, 0);
-    sim.instances[0].is_alive = true;
-    sim.instances[0].role = position::Role::Replica;
-    write_for(&mut sim, 500);
+    let leader = sim.replace_first_leader();
+    sim.write_for(500);
     sim.refusals.clear();
     restore(&mut sim, copy, 800);
     sim.grants.clear();
-    write_for(&mut sim, 1000);
+    sim.write_for(1000);
     // A VM that knows nothing from before the restore reads the leader from the store.
     sim.restart(2);
     sim.run(ms(1500));
-    write_for(&mut sim, 1000);
+    sim.write_for(1000);
     let primaries = sim.grants.iter().filter(|(_, is_primary)| *is_primary);
     assert!(primaries.clone().count() > 0);
     for (instance, _) in primaries {
@@ -129,22 +111,18 @@
 #[test]
 fn a_promotion_after_a_restore_has_a_higher_fencing_token() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let copy = sim.store.copy();
     // Further writes, so that the token of the first claim is high.
     for _ in 0..20 {
         sim.revision += 1;
         sim.run(ms(20));
     }
-    sim.instances[0].is_alive = false;
-    write_for(&mut sim, 3000);
-    let first = sim.leader().expect("an instance leads");
-    sim.instances[0].is_alive = true;
-    sim.instances[0].role = position::Role::Replica;
+    let first = sim.replace_first_leader();
     restore(&mut sim, copy, 800);
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     sim.instances[first].is_alive = false;
-    write_for(&mut sim, 4000);
+    sim.write_for(4000);
     assert_eq!(sim.promotion_orders.len(), 2, "{:?}", sim.decisions);
     assert!(sim.leader().is_some_and(|leader| leader != first));
     assert_eq!(sim.violations, Vec::<String>::new());
@@ -155,13 +133,13 @@
     // The store is lost at any stage of the replacement.
     for step in 0..30 {
         let mut sim = Simulation::new(&Options::default());
-        write_for(&mut sim, 500);
+        sim.write_for(500);
         let copy = sim.store.copy();
         sim.instances[0].is_alive = false;
-        write_for(&mut sim, 500);
+        sim.write_for(500);
         sim.run(ms(20 * step));
         restore(&mut sim, copy, 200);
-        write_for(&mut sim, 5000);
+        sim.write_for(5000);
         assert!(
             sim.leader().is_some_and(|leader| leader != 0),
             "step {step}: {:?}",
@@ -178,12 +156,12 @@
 #[test]
 fn a_claim_of_an_earlier_era_orders_no_promotion() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let copy = sim.store.copy();
     // The claiming VM has to wait out the view of a silent VM.
     sim.paused.insert(2);
     sim.instances[0].is_alive = false;
-    write_for(&mut sim, 1200);
+    sim.write_for(1200);
     assert!(
         sim.has_decision("claimed with token"),
         "{:?}",
@@ -191,7 +169,7 @@
     );
     assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
     restore(&mut sim, copy, 200);
-    write_for(&mut sim, 5000);
+    sim.write_for(5000);
     assert!(!sim.promotion_orders.is_empty(), "{:?}", sim.decisions);
     for (token, _) in &sim.promotion_orders {
         assert_eq!(
@@ -213,13 +191,13 @@
     sim.run(ms(200));
     sim.restart(1);
     sim.run(ms(8000));
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let own = sim.daemons[1].membership().own_member();
     let epoch = sim.daemons[1].budgets().epoch().number;
     sim.refusals.clear();
     restore(&mut sim, copy, 1000);
     for _ in 0..20 {
-        write_for(&mut sim, 100);
+        sim.write_for(100);
         assert!(sim.daemons.iter().all(kernel::Daemon::is_ready));
     }
     assert_eq!(sim.daemons[1].membership().own_member(), own);
@@ -237,20 +215,16 @@
 #[test]
 fn a_second_restore_from_before_the_first_loses_nothing() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let copy = sim.store.copy();
-    sim.instances[0].is_alive = false;
-    write_for(&mut sim, 3000);
-    let leader = sim.leader().expect("an instance leads");
-    sim.instances[0].is_alive = true;
-    sim.instances[0].role = position::Role::Replica;
+    let leader = sim.replace_first_leader();
     sim.refusals.clear();
     restore(&mut sim, copy.clone(), 500);
-    write_for(&mut sim, 1000);
+    sim.write_for(1000);
     restore(&mut sim, copy, 500);
-    write_for(&mut sim, 1000);
+    sim.write_for(1000);
     sim.revision += 1;
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     for daemon in &sim.daemons {
         assert_eq!(daemon.revision(), sim.revision);
     }
@@ -450,7 +424,7 @@
 /// Lets a VM order promotions whose claim the store has lost, while another VM claims.
 fn order_after_lost_claim(cut_peers: bool, order_delay: u64) -> Simulation {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let copy = sim.store.copy();
     sim.instances[0].is_alive = false;
     let holder = write_until(&mut sim, "claiming");
@@ -463,14 +437,14 @@
     // No order is answered.
     sim.lose_orders = usize::MAX;
     sim.cut_store.extend(0..3);
-    write_for(&mut sim, 100);
+    sim.write_for(100);
     sim.store.restore(copy);
     sim.cut_store.retain(|vm| *vm == holder);
-    write_for(&mut sim, 6000);
+    sim.write_for(6000);
     sim.lose_orders = 0;
     sim.cut_store.clear();
     sim.cut_peers.clear();
-    write_for(&mut sim, 6000);
+    sim.write_for(6000);
     let orders = sim.promotion_orders.iter();
     let tokens: std::collections::BTreeSet<_> = orders.map(|(token, _)| *token).collect();
     assert!(tokens.len() > 1, "{:?}", sim.decisions);
@@ -582,7 +556,7 @@
 fn restore_with_late_writes(sim: &mut Simulation, held: usize, span: u64) -> bool {
     let copy = sim.store.copy();
     sim.held_writers.insert(held);
-    write_for(sim, 600);
+    sim.write_for(600);
     sim.run(ms(span));
     restore(sim, copy, 200);
     let keys = [event::RowKey::Epoch, event::RowKey::Leader(name("orders"))];
@@ -595,7 +569,7 @@
         known.extend(daemon.view().row(key).map(|(version, _)| *version));
     }
     sim.held_writers.clear();
-    write_for(sim, 100);
+    sim.write_for(100);
     let mut late = sim.store.late_writes.iter();
     late.any(|version| known.contains(version))
 }
@@ -607,11 +581,11 @@
     for (held, step) in (0..3).flat_map(|held| (0..16).map(move |step| (held, step))) {
         let context = format!("VM {held}, step {step}");
         let mut sim = Simulation::new(&Options::default());
-        write_for(&mut sim, 500);
+        sim.write_for(500);
         sim.instances[0].is_alive = false;
         let is_reused = restore_with_late_writes(&mut sim, held, 40 * step);
         reused_versions += usize::from(is_reused);
-        write_for(&mut sim, 6000);
+        sim.write_for(6000);
         assert!(sim.leader().is_some_and(|leader| leader != 0), "{context}");
         assert_eq!(sim.violations, Vec::<String>::new(), "{context}");
         let row = leader_row(&sim).expect("the leader is recorded");
@@ -632,7 +606,7 @@
         sim.restart(2);
         sim.run(ms(5 * step));
         restore_with_late_writes(&mut sim, held, 100 * step);
-        write_for(&mut sim, 14_000);
+        sim.write_for(14_000);
         late_writes += sim.store.late_writes.len();
         assert!(
             sim.daemons.iter().all(kernel::Daemon::is_ready),
@@ -650,7 +624,7 @@
 #[test]
 fn a_claim_lost_with_its_holder_is_replaced_like_a_lost_leader() {
     let mut sim = Simulation::new(&Options::default());
-    write_for(&mut sim, 500);
+    sim.write_for(500);
     let copy = sim.store.copy();
     sim.instances[0].is_alive = false;
     let holder = write_until(&mut sim, "claiming");
@@ -662,7 +636,7 @@
     restore(&mut sim, copy, 500);
     let returned = sim.now;
     sim.restart(holder);
-    write_for(&mut sim, 6000);
+    sim.write_for(6000);
     let claims = sim
         .decisions
         .iter()
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -3,7 +3,7 @@
 
 use kernel::{event, position, time};
 
-use super::{CONNECT_TIMEOUT, Delivery, KEY, MAX_READ_AGE, Simulation, instance_index};
+use super::{CONNECT_TIMEOUT, Delivery, KEY, MAX_READ_AGE, Simulation, instance_index, ms};
 
 impl Simulation {
     /// Opens a session on a route.
@@ -20,6 +20,31 @@
         id
     }
 
+    /// Sends a write through each VM every 50 ms for a time span in milliseconds.
+    pub fn write_for(&mut self, span: u64) {
+        let sessions: Vec<_> = (0..self.daemons.len())
+            .map(|vm| self.open_session(vm, "latest"))
+            .collect();
+        for _ in 0..span / 50 {
+            for (vm, session) in sessions.iter().enumerate() {
+                self.send_request(vm, *session, true);
+            }
+            self.run(ms(50));
+        }
+    }
+
+    /// Ends instance 0 for 3 s, in which the VMs replace it as the leader; it comes back
+    /// as a replica. Returns the new leader.
+    pub fn replace_first_leader(&mut self) -> usize {
+        self.instances[0].is_alive = false;
+        self.write_for(3000);
+        let leader = self.leader().expect("an instance leads");
+        assert_ne!(leader, 0);
+        self.instances[0].is_alive = true;
+        self.instances[0].role = position::Role::Replica;
+        leader
+    }
+
     /// Sends a read or write on a session.
     pub fn send_request(&mut self, vm: usize, session: event::SessionId, is_write: bool) {
         self.last_id += 1;
