Test starts on the copy in a large region and under changes

a_reader_that_starts_on_the_copy_accepts_no_withdrawn_key: of 48 VMs the one that reads the store starts again while the store has the withdrawn key; the others stay ready.

a_vm_that_starts_while_the_configuration_changes_is_ready_within_a_second: peers report revisions that a starting VM has not read yet, every 20 to 250 ms.

--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -401,6 +401,66 @@
     }
 }
 
+#[test]
+fn a_reader_that_starts_on_the_copy_accepts_no_withdrawn_key() {
+    let mut sim = Simulation::new(&Options {
+        vms: 48,
+        lease_ms: 3500,
+        ..Options::default()
+    });
+    let copy = sim.store.copy();
+    sim.revision += 1;
+    sim.key_withdrawn = true;
+    sim.store_readers.clear();
+    sim.run(ms(2000));
+    let readers = sim.store_readers.clone();
+    assert_eq!(readers.len(), 1);
+    sim.is_operator_away = true;
+    sim.cut_store.extend(0..48);
+    sim.run(ms(500));
+    sim.store.restore(copy);
+    sim.cut_store.clear();
+    for vm in &readers {
+        sim.restart(*vm);
+    }
+    for step in 0..40 {
+        for vm in &readers {
+            let session = sim.open_session(*vm, "keyed");
+            sim.send_request(*vm, session, false);
+        }
+        sim.run(ms(50));
+        for (vm, daemon) in sim.daemons.iter().enumerate() {
+            let is_serving = readers.contains(&vm) || daemon.is_ready();
+            assert!(is_serving, "VM {vm}, step {step}");
+        }
+    }
+    assert_eq!(sim.grants, [], "{:?}", sim.decisions);
+    sim.is_operator_away = false;
+    sim.run(ms(1000));
+    for daemon in &sim.daemons {
+        assert!(daemon.is_ready() && daemon.revision() == sim.revision);
+    }
+}
+
+// Peers report revisions that the VM has not read yet.
+#[test]
+fn a_vm_that_starts_while_the_configuration_changes_is_ready_within_a_second() {
+    for period in [20, 50, 110, 250] {
+        let mut sim = Simulation::new(&Options::default());
+        sim.restart(2);
+        for step in 0..200 {
+            sim.revision += 1;
+            sim.run(ms(period));
+            let all_ready = sim.daemons.iter().all(kernel::Daemon::is_ready);
+            assert!(
+                all_ready || period * step < 1000,
+                "period {period}, step {step}: {:?}",
+                sim.decisions
+            );
+        }
+    }
+}
+
 /// Sends writes until a VM has recorded a decision that contains the text; returns
 /// the VM.
 fn write_until(sim: &mut Simulation, text: &str) -> usize {
