--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -238,6 +238,11 @@
         self.groups.iter().map(|(name, state)| (name, &state.group))
     }
 
+    /// View of the store on this VM.
+    pub fn view(&self) -> &view::View {
+        &self.view
+    }
+
     /// Membership as known on this VM.
     pub fn membership(&self) -> &membership::Membership {
         &self.members
@@ -434,6 +439,9 @@
 
     fn record_readiness(&mut self) {
         let lacks = self.unready_reason();
+        if lacks.is_none() {
+            self.mark_ready();
+        }
         if lacks != self.unready_reason {
             self.unready_reason = lacks;
             self.record_decision(journal::Decision::Readiness { lacks });
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -14,7 +14,7 @@
 
 use config::Name;
 
-use crate::{event, group, leader, message, position, time, view};
+use crate::{event, group, leader, message, position, time, version, view};
 
 mod note;
 mod resume;
@@ -27,9 +27,11 @@
 /// Time after sending for which a claim may be used. It covers the wait for a
 /// silent VM, the pause of the replicas and one promotion order.
 const CLAIM_LIFETIME: std_time::Duration = std_time::Duration::from_millis(6_500);
+/// Time limit of an order, with time for it to arrive.
+const ORDER_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_200);
 /// Age at which another VM takes over a claim: the lifetime of the claim, plus
 /// the time limit of an order that was sent at the end of that lifetime.
-const TAKEOVER_AGE: std_time::Duration = std_time::Duration::from_millis(7_700);
+const TAKEOVER_AGE: std_time::Duration = CLAIM_LIFETIME.saturating_add(ORDER_TIMEOUT);
 /// Time beyond the lease for bytes that a silent VM has already sent to arrive.
 const CLOSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(300);
 /// Period at which VMs that have not closed are asked again.
@@ -105,8 +107,12 @@
     pub leader: Option<leader::Leader>,
     /// Number of requests that still run at the leader that is being closed.
     pub running: usize,
+    /// When the store was first seen to have come back from an older copy.
+    pub restored_at: Option<time::Time>,
     /// Time for which a view of the store is valid.
     pub lease: std_time::Duration,
+    /// Time without a read of the store after which a VM replaces no leader.
+    pub refusal_timeout: std_time::Duration,
     /// Silence after which the leader counts as lost.
     pub silence_limit: std_time::Duration,
     /// State of the group.
@@ -139,6 +145,14 @@
     closing: Option<Closing>,
     claim_seen: Option<(leader::Claim, time::Time)>,
     last_number: u64,
+    /// When this VM sent its last claim that the store accepted, if nobody has changed
+    /// the row since.
+    claimed_at: Option<time::Time>,
+    /// Restore of the store to which `orders_until` refers.
+    restored_at: Option<time::Time>,
+    /// Time until which a silent VM may order promotions by a claim that the store has
+    /// lost.
+    orders_until: time::Time,
     attempt: Option<Attempt>,
     resume: Resume,
 }
@@ -194,6 +208,7 @@
             return;
         }
         self.token = claim.token;
+        self.claimed_at = None;
         self.closing = Some(Closing {
             requester,
             claim: claim.clone(),
@@ -272,6 +287,7 @@
     /// Returns the next steps.
     pub fn step(&mut self, context: &Context<'_>) -> Vec<Step> {
         let mut out = Vec::new();
+        self.record_restore(context);
         self.close_locally(context, &mut out);
         self.resume.step(context, &mut out);
         match self.attempt.take() {
@@ -281,8 +297,32 @@
         out
     }
 
-    /// Stops the use of the old leader on this VM.
+    /// Records that the store has come back from an older copy, in which claims are
+    /// missing. If this VM held the last claim, no other VM holds a missing one.
+    fn record_restore(&mut self, context: &Context<'_>) {
+        if self.restored_at == context.restored_at {
+            return;
+        }
+        self.restored_at = context.restored_at;
+        let holds = |at: time::Time| self.claimed_at.is_some_and(|sent| at < sent + TAKEOVER_AGE);
+        if let Some(at) = self.restored_at.filter(|at| !holds(*at)) {
+            self.orders_until = at + context.refusal_timeout + ORDER_TIMEOUT;
+        }
+    }
+
+    /// Whether a later claim than that of the attempt is known.
+    fn is_overtaken(&self, attempt: &Attempt) -> bool {
+        attempt.token.is_some_and(|token| token < self.token)
+    }
+
+    /// Stops the use of the old leader on this VM. An order of an earlier claim has to be
+    /// answered first.
     fn close_locally(&mut self, context: &Context<'_>, out: &mut Vec<Step>) {
+        let is_ordering =
+            |attempt: &Attempt| self.is_overtaken(attempt) && attempt.awaits_order(context.now);
+        if self.attempt.as_ref().is_some_and(is_ordering) {
+            return;
+        }
         let Some(closing) = self.closing.as_mut().filter(|closing| !closing.is_done) else {
             return;
         };
@@ -322,6 +362,7 @@
         }
         let silence_limit = match context.group.assignment() {
             Some(_) => context.silence_limit,
+            None if self.has_lost_claim(context) => context.silence_limit,
             None => context.silence_limit + LEADERLESS_DELAY,
         };
         if context.group.silence(context.now) < silence_limit {
@@ -342,6 +383,12 @@
         }
     }
 
+    /// Whether the store has lost the claim for which this VM has stopped using the leader.
+    fn has_lost_claim(&self, context: &Context<'_>) -> bool {
+        let era = version::Version::from(self.token).era();
+        era < context.era && context.row_version < self.token
+    }
+
     /// Number of voters that cannot reach the leader, including this VM if it
     /// votes.
     fn count_suspects(&self, context: &Context<'_>) -> usize {
@@ -453,6 +500,9 @@
             out.push(Step::Note(Note::GivenUp { why }));
             None
         };
+        if attempt.awaits_order(context.now) {
+            return Some(attempt);
+        }
         let is_row_newer = attempt
             .token
             .is_some_and(|token| context.row_version > token);
@@ -462,6 +512,9 @@
             }
             _ => false,
         };
+        if is_row_newer {
+            self.claimed_at = None;
+        }
         if is_row_newer && is_recorded {
             if let Some(old_leader) = &attempt.old_leader {
                 out.push(Step::Demote(old_leader.clone(), attempt.term.next()));
@@ -472,7 +525,7 @@
         if attempt.era != context.era {
             return self.claim_again(&attempt, context, out);
         }
-        if is_row_newer {
+        if is_row_newer || self.is_overtaken(&attempt) {
             return give_up(out, Reason::Overtaken);
         }
         if !context.is_eligible && !matches!(attempt.stage, Stage::Recording { .. }) {
@@ -589,6 +642,7 @@
             context.now,
         );
         out.push(Step::StopUsing);
+        self.claimed_at = Some(attempt.claim_sent);
         self.close_locally(context, out);
         attempt.stage = Stage::Closing {
             since: context.now,
@@ -609,7 +663,9 @@
         waiting.retain(|vm| context.peers.contains(vm));
         let waited = context.now.since(since);
         let is_closed = self.closing.as_ref().is_none_or(|closing| closing.is_done);
-        if waited >= context.lease + CLOSE_MARGIN || (is_closed && waiting.is_empty()) {
+        let silent_until = since + context.lease + CLOSE_MARGIN;
+        let is_waited_out = context.now >= silent_until.max(self.orders_until);
+        if is_waited_out || (is_closed && waiting.is_empty()) {
             out.push(Step::Note(Note::Closed {
                 waited_ms: time::micros(waited) / 1000,
                 silent: waiting.len(),
--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -102,6 +102,8 @@
     pub version: u64,
     /// Whether the changes are all entries: an entry that they do not name is gone.
     pub whole: bool,
+    /// Whether this VM has read the store itself.
+    pub is_direct: bool,
     /// Changes in order.
     pub changes: Vec<Change>,
 }
@@ -112,6 +114,9 @@
     proofs: collections::BTreeMap<Part, time::Time>,
     known_versions: collections::BTreeMap<Part, u64>,
     document: Option<sync::Arc<Document>>,
+    /// Newer revisions that other VMs have in force, with the time from which the store
+    /// has to return them.
+    reported_revisions: collections::BTreeMap<u64, time::Time>,
     instances: collections::BTreeMap<Name, Registration>,
     lapsed: lapsed::Lapsed,
     rows: collections::BTreeMap<event::RowKey, (u64, event::Row)>,
@@ -119,6 +124,12 @@
     /// their versions there; 0 if the store lacks the row. If this view lacks the row,
     /// it was removed after the copy was made.
     outdated_rows: collections::BTreeMap<event::RowKey, u64>,
+    /// Whether the store has come back from an older copy, and this VM has not read all
+    /// rows itself since.
+    is_uncompared: bool,
+    /// Instances that are known to leave, which the store does not state because it came
+    /// back from an older copy.
+    outdated_instances: collections::BTreeSet<Name>,
     change_log: change_log::Log,
 }
 
@@ -138,25 +149,29 @@
         if known.is_some_and(|known| era(version) < era(known)) {
             return false;
         }
-        let proof = self.proofs.entry(part).or_default();
-        *proof = (*proof).max(update.proven_at);
+        if part != Part::Configuration || !self.lacks_revision(&update) {
+            let proof = self.proofs.entry(part).or_default();
+            *proof = (*proof).max(update.proven_at);
+        }
         if known.is_some_and(|known| version < known) {
             return false;
         }
-        let is_restored = known.is_some_and(|known| era(version) > era(known));
+        let is_new_era = known.is_some_and(|known| era(version) > era(known));
+        let is_compared = update.whole && update.is_direct && part == Part::Rows;
+        let is_first = is_compared && self.is_uncompared;
+        let restored_from = known.filter(|_| is_new_era || is_first);
+        self.is_uncompared |= is_new_era && part == Part::Rows;
+        self.is_uncompared &= !is_compared;
         self.known_versions.insert(part, version);
         let mut changes = update.changes;
         if update.whole {
-            let removals = self.removals(part, &changes);
-            if is_restored && part == Part::Rows {
-                self.keep_lost(&removals);
-            } else {
-                changes.extend(removals);
+            if part == Part::Rows {
+                self.forget_corrected(&changes);
             }
+            let removals = self.removals(part, &changes);
+            changes.extend(self.without_lost(removals, restored_from.is_some()));
         }
-        if let Some(known) = known.filter(|_| is_restored) {
-            changes = self.without_returned(changes, known);
-        }
+        changes = self.without_returned(changes, update.whole, restored_from);
         let mut changed = false;
         for change in changes {
             if self.apply_change(change.clone(), now) {
@@ -170,29 +185,97 @@
         changed
     }
 
-    /// Keeps rows that the store has lost.
-    fn keep_lost(&mut self, removals: &[Change]) {
-        for change in removals {
-            if let Change::Row(key, _) = change {
+    /// Records that another VM has a revision in force: a read of the store at `since` or
+    /// later that does not return the revision proves nothing, since the store has
+    /// lost the revision.
+    pub fn record_revision(&mut self, revision: u64, since: time::Time) {
+        if revision > self.revision() {
+            let known = self.reported_revisions.entry(revision).or_insert(since);
+            *known = (*known).min(since);
+        }
+    }
+
+    /// Whether the store has lost a revision that an update, once it is applied, should
+    /// have brought.
+    fn lacks_revision(&self, update: &Update) -> bool {
+        let offered = update.changes.iter().filter_map(|change| match change {
+            Change::Configuration(document) => Some(document.revision),
+            _ => None,
+        });
+        let revision = offered.chain([self.revision()]).max();
+        self.is_outdated(revision.unwrap_or_default(), update.proven_at)
+    }
+
+    /// Whether a revision was no longer the newest one at a time.
+    fn is_outdated(&self, revision: u64, at: time::Time) -> bool {
+        let mut newer = self.reported_revisions.iter();
+        newer.any(|(reported, since)| *reported > revision && *since <= at)
+    }
+
+    /// Number of the newest known revision.
+    fn revision(&self) -> u64 {
+        self.document
+            .as_ref()
+            .map_or(0, |document| document.revision)
+    }
+
+    /// Removals without the rows that the store has lost: rows that it lacks when it
+    /// comes back from an older copy, and rows that are still outdated in it.
+    fn without_lost(&mut self, mut removals: Vec<Change>, is_restored: bool) -> Vec<Change> {
+        removals.retain(|change| {
+            let Change::Row(key, _) = change else {
+                return true;
+            };
+            let is_lost = is_restored || self.outdated_rows.contains_key(key);
+            if is_lost {
                 self.outdated_rows.insert(key.clone(), 0);
             }
-        }
+            !is_lost
+        });
+        removals
+    }
+
+    /// Forgets outdated rows that neither this view nor the store has.
+    fn forget_corrected(&mut self, changes: &[Change]) {
+        let named = changes.iter().filter_map(|change| match change {
+            Change::Row(key, _) => Some(key),
+            _ => None,
+        });
+        let named: collections::BTreeSet<_> = named.collect();
+        let rows = &self.rows;
+        self.outdated_rows
+            .retain(|key, _| rows.contains_key(key) || named.contains(key));
     }
 
     /// Changes without what only the copy still has: instances that stay although they
-    /// are known to leave, and rows of VMs that were removed before the version
-    /// `known`.
-    fn without_returned(&mut self, mut changes: Vec<Change>, known: u64) -> Vec<Change> {
+    /// are known to leave, and rows of VMs that were removed. `restored_from` is the
+    /// known version if the rows have not been compared since the store came back.
+    fn without_returned(
+        &mut self,
+        mut changes: Vec<Change>,
+        is_whole: bool,
+        restored_from: Option<u64>,
+    ) -> Vec<Change> {
         changes.retain_mut(|change| match change {
             Change::Instance(name, Some(entry)) => {
+                let is_copied =
+                    restored_from.is_some() || is_whole && self.outdated_instances.contains(name);
                 let previous = self.instances.get(name);
-                let leaves = |previous: &Registration| previous.leaving;
-                let same = previous.filter(|previous| previous.born == entry.born);
-                entry.leaving |= same.is_some_and(leaves);
+                let leaves = |previous: &Registration| {
+                    previous.leaving && !entry.leaving && previous.born == entry.born
+                };
+                if is_copied && previous.is_some_and(leaves) {
+                    entry.leaving = true;
+                    self.outdated_instances.insert(name.clone());
+                } else {
+                    self.outdated_instances.remove(name);
+                }
                 true
             }
             Change::Row(key @ event::RowKey::Member(_), Some((version, _))) => {
-                let was_removed = *version <= known && !self.rows.contains_key(key);
+                let removed = restored_from.max(self.outdated_rows.get(key).copied());
+                let is_older = removed.is_some_and(|removed| *version <= removed);
+                let was_removed = is_older && !self.rows.contains_key(key);
                 if was_removed {
                     self.outdated_rows.insert(key.clone(), *version);
                 }
@@ -212,6 +295,11 @@
         outdated.map(|(key, stored)| (key, *stored, self.rows.get(key).map(|(_, row)| row)))
     }
 
+    /// Whether the store may have lost rows that this VM knows only from another VM.
+    pub fn is_uncompared(&self) -> bool {
+        self.is_uncompared
+    }
+
     /// Version of the store up to which a part is known.
     pub fn known_version(&self, part: Part) -> Option<u64> {
         self.known_versions.get(&part).copied()
@@ -281,6 +369,9 @@
                     .as_ref()
                     .is_none_or(|current| current.revision < document.revision);
                 if newer {
+                    let revision = document.revision;
+                    self.reported_revisions
+                        .retain(|reported, _| *reported > revision);
                     self.document = Some(document);
                 }
                 newer
@@ -319,7 +410,9 @@
 
     /// Latest time at which the state of a part is proven to have held.
     pub fn proven_at(&self, part: Part) -> Option<time::Time> {
-        self.proofs.get(&part).copied()
+        let proof = self.proofs.get(&part).copied()?;
+        let is_refuted = part == Part::Configuration && self.is_outdated(self.revision(), proof);
+        (!is_refuted).then_some(proof)
     }
 
     /// Configuration with the instances that have registered.
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -111,6 +111,8 @@
     order_senders: Vec<(usize, u64)>,
     /// Number of further promotion orders whose answers are lost.
     pub lose_orders: usize,
+    /// VMs whose promotion orders take longer to reach the platform, with the time.
+    pub order_delays: collections::BTreeMap<usize, std_time::Duration>,
     pub violations: Vec<String>,
     pub decisions: Vec<(time::Time, usize, String)>,
     pub acknowledged: Vec<time::Time>,
@@ -118,6 +120,8 @@
     commits: Vec<(time::Time, u64)>,
     /// VMs whose writes the store does not apply, with an unknown outcome.
     pub failing_writers: collections::BTreeSet<usize>,
+    /// VMs whose writes are under way, neither applied nor answered.
+    pub held_writers: collections::BTreeSet<usize>,
     pub unknown_outcomes: usize,
     pub refusals: Vec<Cause>,
     /// Granted requests: instance, and whether the grant names it as the primary.
@@ -143,6 +147,8 @@
     pub connections: u32,
     /// Whether the customer's key has been withdrawn.
     pub key_withdrawn: bool,
+    /// Whether the operator does not write its configuration.
+    pub is_operator_away: bool,
     pub store: store::Store,
     /// Idle connections that a VM may keep, by VM and instance.
     pool_limits: collections::BTreeMap<(usize, usize), u32>,
@@ -327,11 +333,13 @@
             promotion_orders: Vec::new(),
             order_senders: Vec::new(),
             lose_orders: 0,
+            order_delays: collections::BTreeMap::new(),
             violations: Vec::new(),
             decisions: Vec::new(),
             acknowledged: Vec::new(),
             commits: Vec::new(),
             failing_writers: collections::BTreeSet::new(),
+            held_writers: collections::BTreeSet::new(),
             unknown_outcomes: 0,
             refusals: Vec::new(),
             grants: Vec::new(),
@@ -346,6 +354,7 @@
             rate_limit: options.rate_limit,
             connections: options.connections,
             key_withdrawn: false,
+            is_operator_away: false,
             store: store::Store::default(),
             pool_limits: collections::BTreeMap::new(),
             peak_idle: 0,
@@ -521,7 +530,8 @@
             event::Action::RestoreRows(changes) => self.queue_write(vm, Write::Restore(changes)),
             event::Action::OrderPromotion(order) => {
                 if self.local_time(vm) < order.deadline {
-                    self.schedule(LINK_DELAY, Delivery::OrderPromotion(vm, order));
+                    let delay = self.order_delays.get(&vm).copied().unwrap_or(LINK_DELAY);
+                    self.schedule(delay, Delivery::OrderPromotion(vm, order));
                 } else {
                     let rejected =
                         event::Event::PromotionOrdered(order.group, event::OrderOutcome::Rejected);
--- a/components/kernel/tests/store_arbiter/store.rs
+++ b/components/kernel/tests/store_arbiter/store.rs
@@ -19,6 +19,9 @@
     pub calls: usize,
     /// Number of refused writes.
     pub refused_writes: usize,
+    /// Versions of rows that were written in a later era than the one that their writers
+    /// stated.
+    pub late_writes: Vec<u64>,
     data: Data,
     /// Time at which the queued writes are done.
     busy_until: time::Time,
@@ -111,6 +114,9 @@
                 .set(change.era, change.key.clone(), change.row.clone());
         }
         if changes.iter().any(|change| change.era != self.data.era) {
+            let written = changes.iter();
+            let versions = written.map(|change| pack(change.era, self.data.number));
+            self.late_writes.extend(versions);
             return event::StoreOutcome::Unknown;
         }
         event::StoreOutcome::Written(self.data.version())
@@ -162,7 +168,8 @@
         let document = document(self);
         let instances = self.registrations();
         let data = &mut self.store.data;
-        if data.configuration.1.as_ref() != Some(&document) {
+        let is_changed = data.configuration.1.as_ref() != Some(&document);
+        if is_changed && !self.is_operator_away {
             data.number += 1;
             data.configuration = (data.version(), Some(document));
         }
@@ -224,6 +231,7 @@
                 proven_at: self.local_time(vm),
                 version: self.store.data.version(),
                 whole: after.is_none(),
+                is_direct: true,
                 changes,
             };
             self.schedule(
