Take positions of a leader only while its assignment is valid

A VM that loses the store and its peers keeps the expired assignment. Answers of that instance went on counting as positions of the leader, also after the other VMs had replaced it, so reads with a stated age ran on replicas that lacked the new leader's commits (on routes without a key; keyed requests are refused after 4.5 s), and peers took the positions over.

Positions are recorded only if the request was sent before the assignment expired. Both tests fail before: a read at 10 while commits stood at 241, and 22 of 200 floors of a VM that knows the new term.

--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -322,7 +322,11 @@
             }
             self.last_answer = self.last_answer.max(sent);
             self.has_led = true;
-            self.record_primary_position(now, sent, status);
+            // Another instance may lead after an assignment has expired.
+            let is_assigned = |assignment: &leader::Assignment| assignment.until > sent;
+            if !store_arbitrates || self.assignment.as_ref().is_some_and(is_assigned) {
+                self.record_primary_position(now, sent, status);
+            }
         }
     }
 
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -175,3 +175,87 @@
     sim.run(ms(100));
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+/// VM that cannot reach the store but reaches the old leader.
+const ISOLATED: usize = 3;
+
+/// Replaces the leader, which one VM without the store still reaches. The old leader is
+/// not told, and the last replica receives nothing from the new leader.
+fn replace_behind_a_vm() -> Simulation {
+    let mut sim = Simulation::new(&Options {
+        vms: 4,
+        ..Options::default()
+    });
+    sim.run(ms(600));
+    sim.cut_store.insert(ISOLATED);
+    for vm in 0..ISOLATED {
+        sim.cut_instances.insert((vm, 0));
+    }
+    sim.instances[2].replication_cut = true;
+    sim
+}
+
+/// Writes through VM 1 and reads through another VM.
+fn write_and_read(sim: &mut Simulation, reader: usize, span: u64) {
+    let writer = sim.open_session(1, "latest");
+    let reading = sim.open_session(reader, "aged");
+    for _ in 0..span / 20 {
+        sim.send_request(1, writer, true);
+        sim.send_request(reader, reading, false);
+        sim.run(ms(20));
+    }
+}
+
+// Positions of an instance count as the leader's only while the store assigns it.
+#[test]
+fn a_vm_without_the_store_takes_no_position_from_a_replaced_leader() {
+    let mut sim = replace_behind_a_vm();
+    sim.cut_peers.insert(ISOLATED);
+    write_and_read(&mut sim, ISOLATED, 12_000);
+    assert_eq!(sim.instances[1].term, 2, "the leader was replaced");
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+/// Answer of the replaced leader to a poll of the VM that still reaches it. A daemon
+/// polls its leader whenever a session opens on a route without an age.
+fn poll_old_leader(sim: &mut Simulation) {
+    let status = position::Status {
+        term: position::Term(1),
+        promised: position::Term(1),
+        role: position::Role::Primary,
+        received: position::Lsn(sim.instances[0].received),
+        replayed: position::Lsn(sim.instances[0].received),
+        start: position::Lsn(0),
+    };
+    let reply = event::PollReply {
+        instance: store_arbiter::name("db-0"),
+        sent: sim.local_time(ISOLATED),
+        status: Some(status),
+    };
+    sim.dispatch(ISOLATED, event::Event::PollAnswered(reply));
+}
+
+// The same positions reach VMs that know the new leader, once they hear that VM again.
+#[test]
+fn peers_take_no_position_from_a_replaced_leader() {
+    let mut sim = replace_behind_a_vm();
+    sim.cut_peers.insert(ISOLATED);
+    write_and_read(&mut sim, 0, 4_000);
+    sim.cut_peers.remove(&ISOLATED);
+    assert_eq!(sim.instances[0].role, position::Role::Primary);
+    assert_eq!(sim.instances[1].term, 2, "the leader was replaced");
+    let mut older = 0;
+    let writer = sim.open_session(1, "latest");
+    for round in 0..200 {
+        poll_old_leader(&mut sim);
+        if round % 15 == 0 {
+            sim.send_request(1, writer, true);
+        }
+        sim.run(ms(20));
+        let group = sim.daemons[0].group("orders").expect("the group exists");
+        let sample = group.sample_of_age(ms(1500), sim.local_time(0));
+        let is_older = sample.is_some_and(|sample| sample.position.term < position::Term(2));
+        older += usize::from(is_older);
+    }
+    assert_eq!(older, 0, "floors of a replaced leader");
+}
