Replace floors of an older term by a position that the new leader reported

The start of a term was the position that the replica had when it was paused. A pause ends with the replica's restart, so the promoted instance may hold more; floors of the old term were then capped below commits that had not been rolled back.

The row now records the first position that the new leader reported, and floors of an older term become that position. The leader has it, and no rolled back position stays in a floor, for which a read would wait for ever.

a_floor_that_a_promotion_kept_is_not_capped_below_it fails before.

--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -352,14 +352,14 @@
         positions.map(|position| self.cap_floor(position)).max()
     }
 
-    /// Caps a floor of an older term at the start of the assigned term: a
-    /// session cannot wait for writes that a change of leader has rolled back.
+    /// Replaces a floor of an older term by the first known position of the assigned
+    /// term: the leader has that position and everything that was not rolled back.
     pub fn cap_floor(&self, floor: position::Position) -> position::Position {
         let assignment = self.assignment.as_ref();
         let start = assignment
             .and_then(|assignment| assignment.start.map(|start| (assignment.term, start)));
         match start {
-            Some((term, start)) if floor.term < term => floor.min(start),
+            Some((term, start)) if floor.term < term => start,
             _ => floor,
         }
     }
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -253,7 +253,7 @@
     context: &Context<'_>,
     out: &mut Vec<Step>,
 ) -> Stage {
-    let Some((instance, start)) = candidates.front().cloned() else {
+    let Some((instance, _)) = candidates.front().cloned() else {
         return start_pausing(context.now);
     };
     // An order that names the current primary does not change the term, so
@@ -264,6 +264,11 @@
         status.role == position::Role::Primary && is_accepted
     });
     if let Some(status) = confirmed {
+        // A replica that restarted after its pause has received more than it reported then.
+        let start = position::Position {
+            term: status.term,
+            lsn: status.received,
+        };
         out.push(Step::Note(Note::Leads {
             instance: instance.clone(),
             term: status.term,
--- a/components/kernel/src/leader.rs
+++ b/components/kernel/src/leader.rs
@@ -18,7 +18,7 @@
     pub instance: Option<Name>,
     /// Term of the leader; 0 if unknown.
     pub term: position::Term,
-    /// Position at which the term began.
+    /// First known position of the leader in the term.
     pub start: position::Position,
     /// Replacement in progress.
     pub claim: Option<Claim>,
@@ -44,7 +44,7 @@
     pub instance: Name,
     /// Term of the leader; 0 until the instance reports it.
     pub term: position::Term,
-    /// Position at which the term began, if known.
+    /// First known position of the leader in the term, if known.
     pub start: Option<position::Position>,
     /// Time at which the assignment expires.
     pub until: time::Time,
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -259,3 +259,76 @@
     }
     assert_eq!(older, 0, "floors of a replaced leader");
 }
+
+// A replica that restarts receives the log again, so the new term may start later than
+// the position at which the replica was paused.
+#[test]
+fn a_floor_that_a_promotion_kept_is_not_capped_below_it() {
+    let mut sim = Simulation::new(&Options {
+        vms: 4,
+        ..Options::default()
+    });
+    sim.run(ms(600));
+    for replica in [1, 2] {
+        sim.instances[replica].replication_cut = true;
+    }
+    write_and_read(&mut sim, 0, 1_000);
+    for vm in 0..4 {
+        sim.cut_instances.insert((vm, 0));
+    }
+    while sim.promotion_orders.is_empty() {
+        sim.run(ms(5));
+    }
+    let (_, promoted) = sim.promotion_orders[0];
+    sim.instances[promoted].started += 1;
+    sim.instances[promoted].replication_paused = false;
+    sim.instances[promoted].replication_cut = false;
+    sim.run(ms(100));
+    let kept = sim.instances[promoted].received;
+    sim.instances[promoted].replication_cut = true;
+    let reading = sim.open_session(0, "aged");
+    for _ in 0..100 {
+        sim.send_request(0, reading, false);
+        sim.run(ms(10));
+    }
+    assert_eq!(sim.instances[promoted].term, 2);
+    let group = sim.daemons[0].group("orders").expect("the group exists");
+    let floor = position::Position {
+        term: position::Term(1),
+        lsn: position::Lsn(kept),
+    };
+    let start = group.assignment().and_then(|assignment| assignment.start);
+    let violations = sim.violations.len();
+    let capped = group.cap_floor(floor);
+    assert!(
+        capped.lsn >= floor.lsn,
+        "{capped}, start {start:?}, {violations} violations"
+    );
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// The new leader has none of the last positions of the old one.
+#[test]
+fn a_floor_that_a_promotion_rolled_back_is_one_that_the_leader_has() {
+    let mut sim = Simulation::new(&Options::default());
+    sim.write_for(500);
+    for replica in [1, 2] {
+        sim.instances[replica].replication_cut = true;
+    }
+    sim.write_for(500);
+    let lost = position::Position {
+        term: position::Term(1),
+        lsn: position::Lsn(sim.instances[0].received),
+    };
+    sim.instances[0].is_alive = false;
+    sim.write_for(3000);
+    let leader = sim.leader().expect("an instance leads");
+    let group = sim.daemons[0].group("orders").expect("the group exists");
+    let held = position::Position {
+        term: position::Term(sim.instances[leader].term),
+        lsn: position::Lsn(sim.instances[leader].received),
+    };
+    let capped = group.cap_floor(lost);
+    assert_eq!(capped.term, held.term);
+    assert!(capped <= held, "{capped} of {held}");
+}
