Report no VM as heard of that a daemon has not heard of

Time 0 stands for never, but the median of a failure domain's proofs counted it as a time: the first report of a restarted relay, at 1.010 s of its clock, said that a domain had been proven 1.01 s ago whose six VMs it had not heard of, and the receiver took that up.

a_restarted_relay_reports_no_vm_that_it_has_not_heard_of fails before. Answers to the last 256 requests are accepted in place of 32, which at one request each 20 ms covered 0.6 s, less than the time for which a reader may stay silent.

--- a/components/kernel/src/reports.rs
+++ b/components/kernel/src/reports.rs
@@ -104,6 +104,7 @@
             (domain, *proofs.select_nth_unstable(middle).1)
         });
         medians
+            .filter(|(_, proof)| *proof != time::Time::default())
             .filter(|(_, proof)| now.since(*proof) <= MAX_COMMON_AGE)
             .collect()
     }
@@ -205,7 +206,11 @@
 
 /// Failure domain of a VM, if the VM need not be named.
 fn common_domain<'a>(peer: &'a Peer, medians: &DomainProofs<'_>) -> Option<&'a Name> {
-    let listed = peer.entry.as_ref().filter(|_| is_registered(peer))?;
+    let is_heard = peer.proven_at != time::Time::default();
+    let listed = peer
+        .entry
+        .as_ref()
+        .filter(|_| is_heard && is_registered(peer))?;
     let proof = medians.get(&listed.domain)?;
     (proof.since(peer.proven_at) <= MAX_COMMON_SPREAD).then_some(&listed.domain)
 }
--- a/components/kernel/src/sent_requests.rs
+++ b/components/kernel/src/sent_requests.rs
@@ -7,8 +7,9 @@
 
 use crate::time;
 
-/// Number of requests whose answers are still accepted.
-const MAX_REQUESTS: usize = 32;
+/// Number of requests whose answers are still accepted: at the highest rate, one each 20
+/// ms, those of the last 5 s.
+const MAX_REQUESTS: usize = 256;
 
 /// When the newest requests of this run were sent.
 #[derive(Debug, Default)]
--- a/components/kernel/tests/large.rs
+++ b/components/kernel/tests/large.rs
@@ -635,3 +635,57 @@
         }
     }
 }
+
+/// Report of a VM that is pinged now.
+fn ping(sim: &mut Simulation, vm: usize, from: &str) -> kernel::message::Report {
+    let now = sim.local_time(vm);
+    let ping = kernel::message::Message::Ping(now, kernel::message::Report::default());
+    let event = kernel::event::Event::MessageReceived(store_arbiter::name(from), ping);
+    let actions = sim.daemons[vm].handle(now, event);
+    let report = actions.into_iter().find_map(|action| match action {
+        kernel::event::Action::Send(_, kernel::message::Message::Pong(_, report)) => Some(report),
+        _ => None,
+    });
+    report.expect("the VM answers")
+}
+
+// Time 0 stands for "never".
+#[test]
+fn a_restarted_relay_reports_no_vm_that_it_has_not_heard_of() {
+    let mut sim = Simulation::new(&two_regions(48));
+    sim.run(ms(1500));
+    sim.restart(0);
+    for _ in 0..100 {
+        sim.run(ms(5));
+        let report = ping(&mut sim, 0, "vm-6");
+        for common in &report.common {
+            let peers = sim.daemons[0].membership().peers();
+            let unproven = peers.iter().filter(|(vm, peer)| {
+                let listed = peer.entry.as_ref();
+                let is_named = report.heard.iter().any(|heard| heard.vm == **vm);
+                listed.is_some_and(|entry| entry.domain == common.domain)
+                    && !is_named
+                    && peer.proven_at == kernel::time::Time::default()
+            });
+            assert_eq!(unproven.count(), 0, "{common:?} at {}", sim.local_time(0));
+        }
+    }
+}
+
+#[test]
+fn a_restarted_relay_does_not_revive_a_dead_vm() {
+    let mut sim = Simulation::new(&two_regions(48));
+    sim.run(ms(1500));
+    let died = sim.now;
+    sim.dead.insert(24);
+    sim.run(ms(3800));
+    sim.restart(0);
+    sim.run(ms(600));
+    let peers = sim.daemons[6].membership().peers();
+    let heard_at = peers["vm-24"].heard_at;
+    assert!(
+        heard_at <= died + ms(2000),
+        "died at {died}, heard of at {heard_at}, now {}",
+        sim.now
+    );
+}
