Drop a session's floor when its route changes its group

A route may be moved to another group while sessions are open. The floor of the session's own commits stayed, and is a position in the log of the old group: reads in the new one waited for a position that may never come, or needed none of their own.

a_session_whose_route_changes_its_group_keeps_no_floor fails before.

--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -132,7 +132,11 @@
             let age = std_time::Duration::from_millis(route.age_ms);
             session.max_age = (!age.is_zero()).then_some(age);
             session.reads = route.reads;
-            session.group.clone_from(&route.group);
+            if session.group != route.group {
+                // Positions of one group mean nothing in another.
+                session.floor = None;
+                session.group.clone_from(&route.group);
+            }
         }
     }
 
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -332,3 +332,18 @@
     assert_eq!(capped.term, held.term);
     assert!(capped <= held, "{capped} of {held}");
 }
+
+// Positions of one group mean nothing in another.
+#[test]
+fn a_session_whose_route_changes_its_group_keeps_no_floor() {
+    let mut sim = Simulation::new(&Options::default());
+    let session = sim.open_session(0, "aged");
+    sim.send_request(0, session, true);
+    sim.run(ms(100));
+    assert!(sim.daemons[0].session_floor(session).is_some());
+    sim.aged_group = "others";
+    sim.revision += 1;
+    sim.run(ms(100));
+    sim.send_request(0, session, false);
+    assert_eq!(sim.daemons[0].session_floor(session), None);
+}
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -143,6 +143,8 @@
     pub revision: u64,
     /// Rate and burst of the customer.
     pub rate_limit: (u32, u32),
+    /// Group of the route `aged`.
+    pub aged_group: &'static str,
     /// Connections that an instance accepts.
     pub connections: u32,
     /// Whether the customer's key has been withdrawn.
@@ -255,16 +257,17 @@
         durability: Durability::Primary,
         instances: Vec::new(),
     };
+    fleet.groups.insert(name(sim.aged_group), group.clone());
     fleet.groups.insert(name("orders"), group);
-    for (route, reads) in [
-        ("latest", ReadConsistency::Latest),
-        ("aged", ReadConsistency::OwnAndAge),
+    for (route, reads, group) in [
+        ("latest", ReadConsistency::Latest, "orders"),
+        ("aged", ReadConsistency::OwnAndAge, sim.aged_group),
     ] {
         let entry = Route {
             open: true,
             age_ms: 1500,
             reads,
-            ..Route::new(name("orders"))
+            ..Route::new(name(group))
         };
         fleet.routes.insert(name(route), entry);
     }
@@ -352,6 +355,7 @@
             reported_vms: 0,
             revision: 7,
             rate_limit: options.rate_limit,
+            aged_group: "orders",
             connections: options.connections,
             key_withdrawn: false,
             is_operator_away: false,
