--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -174,16 +174,19 @@
             let can_repeat = reply.state != dialect::TransactionState::Failed;
             let in_time = std_time::Instant::now() + pause < deadline
                 && self.runtime.clock.now() + pause < connection.valid_until;
-            if !(busy && can_repeat && in_time && self.renew_precondition(connection)) {
+            if !(busy && can_repeat && in_time) {
                 return Ok(reply);
             }
             thread::sleep(pause);
+            if !self.renew_precondition(connection) {
+                return Ok(reply);
+            }
             pause = (pause * 2).min(RETRY_PAUSE_LIMIT);
         }
     }
 
-    /// Logs what a read rested on and what the instance answered. Reads that were
-    /// delayed or sent again are logged at a higher level than ordinary ones.
+    /// Logs what a read rested on and what the instance answered; at debug level unless
+    /// the read was delayed.
     pub(super) fn log_read(
         &self,
         id: &str,
