--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -20,8 +20,8 @@
     pub(super) request: event::RequestId,
     pub(super) instance: Name,
     pub(super) is_primary: bool,
-    /// Condition under which the next statement may be sent; the default inside a
-    /// transaction, which stays at its instance.
+    /// Condition under which the next statement may be sent. Inside a transaction, which
+    /// stays at its instance, there is none.
     pub(super) precondition: event::Precondition,
     /// Access of the request; none inside a transaction.
     pub(super) access: Option<event::Access>,
@@ -204,24 +204,20 @@
         if !log::log_enabled!(level) {
             return;
         }
-        let position = |position: Option<position::Position>| {
+        let text = |position: Option<position::Position>| {
             position.map_or("-".to_string(), |position| position.to_string())
         };
-        let basis = &connection.precondition;
-        let leader = basis.leader.as_ref().map_or("-", |leader| leader);
-        let source = basis
-            .sample
-            .as_ref()
-            .map_or("-".to_string(), |sample| sample.source.to_string());
-        let age_ms = basis
-            .sample
-            .as_ref()
-            .map(|sample| sent.since(sample.sent).as_millis());
+        let condition = &connection.precondition;
+        let leader = condition.leader.as_ref().map_or("-", |leader| leader);
+        let sample = condition.sample.as_ref();
+        let source = sample.map_or("-".to_string(), |sample| sample.source.to_string());
+        let age_ms = sample.map_or("-".to_string(), |sample| {
+            sent.since(sample.sent).as_millis().to_string()
+        });
         log::log!(target: "request", level, id, instance = &**connection.instance, leader,
-            floor:% = position(basis.floor),
-            sample:% = position(basis.sample.as_ref().map(|sample| sample.position)),
-            source:%, age_ms:? = age_ms,
-            answered:% = position(reply.applied),
+            floor:% = text(condition.floor),
+            sample:% = text(sample.map(|sample| sample.position)),
+            source, age_ms, answered:% = text(reply.applied),
             waited_ms:% = sent.since(start).as_millis(), ran_ms:% = now.since(sent).as_millis();
             "read");
     }
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -101,25 +101,11 @@
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
-/// Sends a write through each of the VMs every 50 ms for a time span in milliseconds.
-fn write_through(sim: &mut Simulation, vms: &[usize], span: u64) {
-    let sessions: Vec<_> = vms
-        .iter()
-        .map(|vm| (*vm, sim.open_session(*vm, "latest")))
-        .collect();
-    for _ in 0..span / 50 {
-        for (vm, session) in &sessions {
-            sim.send_request(*vm, *session, true);
-        }
-        sim.run(ms(50));
-    }
-}
-
 // The floor was determined at the grant, before the connection was opened.
 #[test]
 fn a_read_with_a_slow_connection_needs_a_recent_position() {
     let mut sim = Simulation::new(&Options::default());
-    write_through(&mut sim, &[1], 500);
+    sim.write_through(&[1], 500);
     for replica in [1, 2] {
         sim.instances[replica].replication_cut = true;
     }
@@ -140,17 +126,17 @@
 #[test]
 fn a_primary_read_with_a_slow_connection_does_not_run_at_a_replaced_leader() {
     let mut sim = Simulation::new(&Options::default());
-    write_through(&mut sim, &[0, 1], 500);
+    sim.write_through(&[0, 1], 500);
     sim.connect_time = ms(5000);
     let session = sim.open_session(0, "latest");
     sim.send_request(0, session, false);
     sim.run(ms(5));
     sim.connect_time = ms(0);
     sim.instances[0].is_leaving = true;
-    write_through(&mut sim, &[1], 2500);
+    sim.write_through(&[1], 2500);
     assert!(sim.leader().is_some_and(|leader| leader != 0));
     sim.instances[0].replication_cut = true;
-    write_through(&mut sim, &[1], 4000);
+    sim.write_through(&[1], 4000);
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
@@ -158,9 +144,9 @@
 #[test]
 fn a_primary_read_does_not_run_at_a_replica_that_is_taken_for_the_leader() {
     let mut sim = Simulation::new(&Options::default());
-    write_through(&mut sim, &[0], 500);
+    sim.write_through(&[0], 500);
     sim.instances[1].replication_cut = true;
-    write_through(&mut sim, &[0], 500);
+    sim.write_through(&[0], 500);
     let row = leader::Leader {
         instance: Some(store_arbiter::name("db-1")),
         term: position::Term(1),
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -22,12 +22,17 @@
 
     /// Sends a write through each VM every 50 ms for a time span in milliseconds.
     pub fn write_for(&mut self, span: u64) {
-        let sessions: Vec<_> = (0..self.daemons.len())
-            .map(|vm| self.open_session(vm, "latest"))
-            .collect();
+        let vms: Vec<_> = (0..self.daemons.len()).collect();
+        self.write_through(&vms, span);
+    }
+
+    /// Sends a write through each of some VMs every 50 ms for a time span in milliseconds.
+    pub fn write_through(&mut self, vms: &[usize], span: u64) {
+        let open = |vm: &usize| (*vm, self.open_session(*vm, "latest"));
+        let sessions: Vec<_> = vms.iter().map(open).collect();
         for _ in 0..span / 50 {
-            for (vm, session) in sessions.iter().enumerate() {
-                self.send_request(vm, *session, true);
+            for (vm, session) in &sessions {
+                self.send_request(*vm, *session, true);
             }
             self.run(ms(50));
         }
