--- a/components/testbed/src/cluster.rs
+++ b/components/testbed/src/cluster.rs
@@ -60,7 +60,7 @@
     pub fn start_unconfigured(plan: plan::Plan) -> Result<Self, failure::Failure> {
         let permit = permit::Permit::acquire();
         let network =
-            standin::Network::new(plan.domain_delay, plan.region_delay, plan.region_bandwidth);
+            standin::Network::new(plan.domain_delay, plan.region_delay, plan.region_bandwidth)?;
         let platform = standin::Platform::start()?;
         let mut cluster = Self {
             network,
