--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -181,7 +181,7 @@
             for row in body.get("write", []):
                 version = self._write(name(row), row["value"])
                 for hook in self.on_write:
-                    hook(name(row), json.loads(base64.b64decode(row["value"])), version)
+                    hook(row["key"], json.loads(base64.b64decode(row["value"])), version)
             for row in body.get("remove", []):
                 self._write(name(row), None)
             return 200, {"rowVersion": self.version, "currentTimeMs": self.now_ms()}
@@ -418,12 +418,14 @@
                 return
             self.instance.connections.add(self.end)
         self.user = fields[2]
+        rtt_s = group.rtt_s(instance_zone(self.end.getpeername()[0]), self.instance.zone)
         self.end.sendall(self.ready().encode())
         for line in lines:
             text = line.decode().rstrip("\r\n")
             if text == "TERMINATE" or not text.startswith("QUERY "):
                 return
             _, id, text = text.split(" ", 2)
+            time.sleep(rtt_s)
             try:
                 answer = self.run(id, text)
             except Cut as cut:
@@ -563,10 +565,17 @@
         self.reply = lambda instance, word, id, entries, answer: answer
         self.is_control_busy = lambda instance, word: False
         self.delay_s = lambda replica: 0.001
+        self.is_far = False
         for instance in self.instances:
             instance.start()
         threading.Thread(target=self._replicate, daemon=True).start()
 
+    def rtt_s(self, a, b):
+        """Round trip between two zones, as in SYSTEM.md, if distances are played."""
+        if not self.is_far or a == b:
+            return 0
+        return 0.0018 if REGIONS[a] == REGIONS[b] else 0.04
+
     def find(self, id):
         return next(instance for instance in self.instances if instance.id == id)
 
@@ -748,6 +757,11 @@
     return list(REGIONS).index(zone)
 
 
+def instance_zone(ip):
+    """Zone of a daemon, from its address."""
+    return list(REGIONS)[int(ip.split(".")[2]) - 1]
+
+
 def split_address(text):
     host, port = text.rsplit(":", 1)
     return host, int(port)
