--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -36,6 +36,7 @@
         self.file = open(os.path.join(folder, "record.txt"), "w")
 
     def __call__(self, text):
+        text = text.replace("\n", "\\n")
         with self.lock:
             self.file.write(f"{time.monotonic() - self.start:9.4f} {text}\n")
             self.file.flush()
@@ -285,6 +286,21 @@
 # --- database group --------------------------------------------------------------
 
 
+def messages(end):
+    """Lines of a connection; CR LF ends a line, and nothing else does."""
+    buffer = b""
+    while True:
+        line, found, rest = buffer.partition(b"\r\n")
+        if found:
+            buffer = rest
+            yield line.decode()
+            continue
+        data = end.recv(65536)
+        if not data:
+            return
+        buffer += data
+
+
 class Instance:
     def __init__(self, group, number, zone):
         self.group, self.number, self.zone = group, number, zone
@@ -405,8 +421,8 @@
             return f"READY {state} {self.instance.term}.{self.instance.applied()}\r\n"
 
     def serve(self):
-        group, lines = self.instance.group, self.end.makefile("rb")
-        fields = lines.readline().decode().rstrip("\r\n").split(" ")
+        group, lines = self.instance.group, messages(self.end)
+        fields = next(lines, "").split(" ")
         if fields[:2] != ["STARTUP", group.name] or (len(fields) > 3 and fields[3] != self.instance.id):
             self.end.sendall(b"ERROR MISROUTED another\r\n")
             return
@@ -420,8 +436,7 @@
         self.user = fields[2]
         rtt_s = group.rtt_s(instance_zone(self.end.getpeername()[0]), self.instance.zone)
         self.end.sendall(self.ready().encode())
-        for line in lines:
-            text = line.decode().rstrip("\r\n")
+        for text in lines:
             if text == "TERMINATE" or not text.startswith("QUERY "):
                 return
             _, id, text = text.split(" ", 2)
