--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -672,6 +672,26 @@
         threading.Thread(target=lead, daemon=True).start()
         return 200
 
+    def release(self, drain_s):
+        """Replaces the primary's host: a new instance starts, then the primary drains and ends."""
+        old = self.primary()
+        new = Instance(self, len(self.instances) + 1, old.zone)
+        with self.lock:
+            self.instances = self.instances + [new]
+        new.start()
+        time.sleep(1)
+        old.state = "draining"
+        old.report()
+        self.record(f"{old.id} drains; {new.id} has started")
+
+        def leave():
+            time.sleep(drain_s)
+            old.crash()
+            self.store.remove("servers", old.id)
+            self.record(f"{old.id} has left")
+
+        threading.Thread(target=leave, daemon=True).start()
+
     def revive(self, instance):
         """Starts a crashed instance again, with its log."""
         with self.lock:
