--- a/review/2/play.py
+++ b/review/2/play.py
@@ -55,10 +55,9 @@
                 time.sleep(0.2)
                 continue
             id = f"{client.name}.{time.monotonic():.6f}"
-            sent = time.monotonic()
             _, outcome = client.run(f"WRITE item{n} {id}", id)
             if outcome and outcome.startswith("COMPLETE"):
-                acknowledged.append((time.monotonic(), sent, outcome.split(".")[1], id))
+                acknowledged.append((outcome.split(".")[1], id))
             if outcome is None or client.state != "I":
                 client.close()
                 client = None
@@ -105,19 +104,18 @@
 
 
 def judge(rig, acknowledged):
-    newest = {}
-    for at, service, holder, token, id in rig.cloud.orders:
-        seen = newest.get(service, (0, None))
-        if token < seen[0]:
-            yield f"ONE: {holder} orders {id} with token {token} after {seen[1]} has ordered with {seen[0]}"
-        newest[service] = max(seen, (token, holder))
-    promoted = getattr(rig.group, "promoted", [])
-    for at, leader, term, _ in promoted:
-        for answered, sent, instance, id in acknowledged:
-            ran = next((t for t, i, run_term, entry in rig.group.commits if entry[0] == id), None)
-            run_term = next((run_term for t, i, run_term, entry in rig.group.commits if entry[0] == id), None)
-            if ran and ran > at and run_term < term:
-                yield f"ONE: {id} is committed at {instance} {ran - at:.3f} s after {leader} leads term {term}, and acknowledged"
+    highest = (0, None)
+    for _, _, holder, token, id in rig.cloud.orders:
+        if token < highest[0]:
+            yield f"ONE: {holder} orders {id} with token {token} after {highest[1]} has ordered with {highest[0]}"
+        highest = max(highest, (token, holder))
+    committed = {entry[0]: (at, term) for at, _, term, entry in rig.group.commits}
+    for at, leader, term, _ in rig.group.promoted:
+        for instance, id in acknowledged:
+            ran, run_term = committed[id]
+            if ran > at and run_term < term:
+                yield (f"ONE: {id} is committed at {instance} {ran - at:.3f} s after {leader} leads term {term}, "
+                       "and is acknowledged")
 
 
 rigs.main(CASE, play)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -3,7 +3,6 @@
 
 import base64
 import bisect
-import collections
 import http.server
 import json
 import os
@@ -12,10 +11,10 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
+import urllib.parse
 import urllib.request
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -81,7 +80,7 @@
     def do_GET(self):
         path, _, query = self.path.partition("?")
         query = dict(pair.split("=", 1) for pair in query.split("&") if "=" in pair)
-        query = {key: urllib.request.unquote(value) for key, value in query.items()}
+        query = {key: urllib.parse.unquote(value) for key, value in query.items()}
         self.answer(*self.server.owner.get(path, query))
 
     def do_POST(self):
@@ -572,7 +571,8 @@
         self.record, self.store, self.name, self.sync = record, store, name, sync
         self.slots, self.max_connections = slots, max_connections
         self.lock = threading.RLock()
-        self.commits = []
+        self.commits = []  # (when, instance, term, entry)
+        self.promoted = []  # (when, instance, term, its log then)
         self.instances = [Instance(self, n + 1, zone) for n, zone in enumerate(zones)]
         self.instances[0].role = "primary"
         self.newest = 1
@@ -657,7 +657,6 @@
                 for other in self.instances:
                     if other is not instance:
                         other.paused = 0
-                self.promoted = getattr(self, "promoted", [])
                 self.promoted.append((time.monotonic(), id, self.newest, list(instance.log)))
                 self.record(f"{id} leads term {self.newest} from {len(instance.log)}")
             instance.report()
