--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -42,7 +42,10 @@
 
     def say(self, text):
         self(text)
-        print(text, flush=True)
+        try:
+            print(text, flush=True)
+        except OSError:
+            pass
 
 
 # --- platform ------------------------------------------------------------------
@@ -929,6 +932,8 @@
         rigs.append(Rig(case, **options))
         return rigs[-1]
 
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: os._exit(end(rigs, 2)))
     watchdog = threading.Timer(115, lambda: os._exit(end(rigs, 2)))
     watchdog.daemon = True
     watchdog.start()
