Take an answer that is cut off for what its lines prove

Cause: Link::read_reply took the end of the connection after an ERROR line for the rejection of the connection, also within the answer to a statement. run_standalone treats a rejection like a statement that was never sent.

Ruled out: a pooled connection reported as unsent (an answer cut before its ERROR line is in doubt, also on the old code), a second grant (one connection after the other, each after the end of the last), the caller (one line).

Only a complete ERROR line with BUSY, NOSTMT, LAGGING or READONLY proves that the statement has not run; the type says so (LinkFailure::Refused, proves_not_run). All else that ends early is Broken. Contradictory lines prove nothing. A COMMIT that was refused before the cut is ABORTED and no longer in doubt.

--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -335,8 +335,16 @@
                         None => return self.pass_reply(links, planned, connection, &reply, start),
                     }
                 }
-                Err(dialect::LinkFailure::Unsent | dialect::LinkFailure::Rejected(_)) => {
-                    self.discard(links, connection, event::RequestOutcome::Unsent);
+                Err(failure) if failure.proves_not_run() => {
+                    log::info!(target: "request", id = planned.call.id,
+                        instance = &**connection.instance,
+                        failure:%; "not run");
+                    if let dialect::LinkFailure::Refused(_) = failure {
+                        self.discard(links, connection, event::RequestOutcome::ConnectionLost);
+                        thread::sleep(RETRY_PAUSE);
+                    } else {
+                        self.discard(links, connection, event::RequestOutcome::Unsent);
+                    }
                 }
                 Err(failure) => {
                     log::info!(target: "request", id = planned.call.id,
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -244,7 +244,7 @@
                 log::info!(target: "request", id = call.id, instance = &**connection.instance,
                     failure:%; "commit lost");
                 self.discard(links, connection, event::RequestOutcome::ConnectionLost);
-                let cause = if has_written {
+                let cause = if has_written && !failure.proves_not_run() {
                     Cause::OutcomeUnknown
                 } else {
                     Cause::TransactionLost
--- a/components/dialect/src/failure.rs
+++ b/components/dialect/src/failure.rs
@@ -39,9 +39,13 @@
     /// The statement was not sent.
     #[display("no connection")]
     Unsent,
-    /// The instance rejected the connection.
+    /// The instance rejected the connection, so that no statement was sent.
     #[display("the instance rejected the connection: {_0}")]
     Rejected(#[error(not(source))] reply::RefusalReason),
+    /// The instance has not run the statement, and the connection failed before the end of
+    /// the answer that says so.
+    #[display("the connection failed after a refusal: {_0}")]
+    Refused(#[error(not(source))] reply::RefusalReason),
     /// The connection failed after bytes may have been sent.
     #[display("the connection failed")]
     Broken,
@@ -49,3 +53,14 @@
     #[display("no reply within the time limit")]
     TimedOut,
 }
+
+impl LinkFailure {
+    /// Whether the statement has certainly not run.
+    pub fn proves_not_run(self) -> bool {
+        match self {
+            Self::Unsent | Self::Rejected(_) => true,
+            Self::Refused(reason) => reason.proves_not_run(),
+            Self::Broken | Self::TimedOut => false,
+        }
+    }
+}
--- a/components/dialect/src/reply.rs
+++ b/components/dialect/src/reply.rs
@@ -29,15 +29,30 @@
     /// The instance is no primary and has not run the statement.
     #[display("read-only")]
     ReadOnly,
-    /// The connection names another instance; nothing was run.
+    /// The connection names another instance.
     #[display("another instance")]
     Misrouted,
-    /// The instance is at its connection limit; nothing was run.
+    /// The instance is at its connection limit.
     #[display("too many connections")]
     TooManyConnections,
-    /// The statement ran and failed, or the instance cannot tell whether it ran.
+    /// The statement ran; whether it took effect is not known.
     #[display("failed")]
     Failed,
+    /// The code is not known, and does not tell whether the statement ran.
+    #[display("unrecognized")]
+    Unrecognized,
+}
+
+impl RefusalReason {
+    /// Whether an instance that answers a statement with this reason has not run it.
+    pub fn proves_not_run(self) -> bool {
+        match self {
+            Self::Busy | Self::StatementUnknown | Self::Lagging | Self::ReadOnly => true,
+            // These two refuse a connection, and say nothing of a statement.
+            Self::Misrouted | Self::TooManyConnections => false,
+            Self::Failed | Self::Unrecognized => false,
+        }
+    }
 }
 
 /// Outcome of a statement.
