--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -402,6 +402,14 @@
         start: std_time::Instant,
     ) -> Result<(), dialect::CallerFailure> {
         let committed = planned.writes && reply.outcome == dialect::Outcome::Complete;
+        if planned.writes && !is_outcome_told(reply.outcome) {
+            log::warn!(target: "request", id = planned.call.id,
+                instance = &**connection.instance, outcome:? = reply.outcome;
+                "the answer does not tell whether the statement has run");
+            self.discard(links, connection, event::RequestOutcome::ConnectionLost);
+            self.record_outcome(telemetry::Outcome::Unknown, start.elapsed());
+            return self.refuse(Some(planned.call), &Refusal::new(Cause::OutcomeUnknown, 0));
+        }
         let outcome = if connection.is_primary {
             telemetry::Outcome::Primary
         } else {
@@ -455,6 +463,16 @@
     }
 }
 
+/// Whether an answer tells that a statement has run, or that it has not.
+fn is_outcome_told(outcome: dialect::Outcome) -> bool {
+    match outcome {
+        dialect::Outcome::Complete => true,
+        dialect::Outcome::Refused(reason) => {
+            reason == dialect::RefusalReason::Failed || reason.proves_not_run()
+        }
+    }
+}
+
 /// Pauses before the retry of a statement that an instance could not accept.
 fn pause_before_retry(outcome: event::RequestOutcome) {
     if matches!(
