Reset connections whose calls are given up, and check an order as it is sent

Cause: the take-over after 7.7 s counts on an order that arrives within 1.2 s or never. The HTTP client gave the call up after 1 s, but closed its connection in the ordinary way, so the system went on delivering the bytes.

Ruled out: an order sent late (3 orders, the last 2.6 s after the claim), a holder that goes on (it gave up 3.6 s after the claim), an early take-over (7.9 s).

Change: all connections that a daemon opens to the platform and to instances come from the crate socket. A linger time of zero is set before connecting: giving a call up, and the end of the process, drop what has not arrived. Connections to the platform also have a TCP user timeout, which drops it while the process is frozen. An order has a connection of its own, and its deadline is checked (on the clock that counts suspended time) after connecting, before and after each write; before, it was checked before a connection was looked for. An order that expired unsent is no longer told to the kernel as one that the instance rejected.

Not closed: a process that is frozen in the microseconds between the last check and the write, for over 1.2 s, and whose order then arrives at once.

Kin: writes to the store, PAUSE, STEPDOWN, RESUME and statements that are given up, over new and pooled connections, and cancel requests of the PostgreSQL dialect.

Tests: late_calls.rs, socket/tests/reset.rs.

--- a/components/daemon/src/platform.rs
+++ b/components/daemon/src/platform.rs
@@ -85,10 +85,10 @@
         }
         Call::Order(order) => {
             let ordered = match &services.orders {
-                Some(orders) if clock.now() < order.deadline => orders.order_promotion(vm, &order),
-                Some(_) => {
-                    log::warn!(group = &**order.group; "the order expired before it could be sent");
-                    event::OrderOutcome::Rejected
+                Some(orders) => {
+                    let (clock, deadline) = (*clock, order.deadline);
+                    let validity = store::Validity::new(move || clock.now() < deadline);
+                    orders.order_promotion(vm, &order, &validity)
                 }
                 None => {
                     log::error!("no service takes promotion orders; set `orders` in the settings");
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -330,8 +330,11 @@
     Accepted,
     /// The instance cannot take over.
     Rejected,
-    /// The platform did not answer; it may have accepted the order.
+    /// The platform did not answer; it may have accepted the order, which can no longer
+    /// arrive.
     Unknown,
+    /// The order expired before it was sent.
+    Expired,
 }
 
 /// Answer of an instance to a fence or a promotion.
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -280,7 +280,7 @@
                 candidates.pop_front();
                 *sent = None;
             }
-            event::OrderOutcome::Unknown => *sent = Some(now),
+            event::OrderOutcome::Unknown | event::OrderOutcome::Expired => *sent = Some(now),
         }
     }
 
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -537,9 +537,9 @@
                     let delay = self.order_delays.get(&vm).copied().unwrap_or(LINK_DELAY);
                     self.schedule(delay, Delivery::OrderPromotion(vm, order));
                 } else {
-                    let rejected =
-                        event::Event::PromotionOrdered(order.group, event::OrderOutcome::Rejected);
-                    self.schedule(LINK_DELAY, Delivery::Event(vm, rejected));
+                    let expired =
+                        event::Event::PromotionOrdered(order.group, event::OrderOutcome::Expired);
+                    self.schedule(LINK_DELAY, Delivery::Event(vm, expired));
                 }
             }
             event::Action::Grant(grant) => {
--- a/components/store/src/client.rs
+++ b/components/store/src/client.rs
@@ -4,12 +4,14 @@
 use std::{str, time};
 
 use serde::{Serialize, de};
-use ureq::http;
+use ureq::{http, typestate, unversioned::resolver};
 
-use crate::failure;
+use crate::{failure, transport};
 
 /// Limit for opening a TCP connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+/// Limit for the delivery of a request's bytes.
+const DELIVERY_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
 /// HTTP response of any status.
 #[derive(Debug)]
@@ -42,13 +44,8 @@
 impl Client {
     /// Creates a client that ignores the proxy settings of the environment.
     pub fn new(url: &str) -> Self {
-        let config = ureq::Agent::config_builder()
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .http_status_as_error(false)
-            .proxy(None)
-            .build();
         Self {
-            agent: config.into(),
+            agent: create_agent(DELIVERY_TIMEOUT, None),
             base_url: url.trim_end_matches('/').into(),
         }
     }
@@ -96,13 +93,57 @@
         body: &impl Serialize,
         timeout: time::Duration,
     ) -> Result<Response, failure::Failure> {
-        let mut request = self.agent.post(format!("{}{path}", self.base_url));
-        for (name, value) in headers {
-            request = request.header(*name, value);
-        }
-        let request = request.config().timeout_global(Some(timeout)).build();
-        read_response(request.send_json(body))
+        let request = self.agent.post(format!("{}{path}", self.base_url));
+        read_response(send_post(request, headers, body, timeout))
+    }
+
+    /// Sends `POST` over a connection of its own, unless the request expires first. After a
+    /// failure, the request can no longer arrive.
+    pub fn post_valid(
+        &self,
+        path: &str,
+        headers: &[(&str, String)],
+        body: &impl Serialize,
+        timeout: time::Duration,
+        validity: &transport::Validity,
+    ) -> Result<Response, failure::Failure> {
+        let agent = create_agent(timeout, Some(validity.clone()));
+        let request = agent.post(format!("{}{path}", self.base_url));
+        read_response(send_post(request, headers, body, timeout))
+    }
+}
+
+fn create_agent(delivery: time::Duration, validity: Option<transport::Validity>) -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .http_status_as_error(false)
+        .proxy(None)
+        .build();
+    let connector = transport::Connector { delivery, validity };
+    let resolver = resolver::DefaultResolver::default();
+    ureq::Agent::with_parts(config, connector, resolver)
+}
+
+fn send_post(
+    mut request: ureq::RequestBuilder<typestate::WithBody>,
+    headers: &[(&str, String)],
+    body: &impl Serialize,
+    timeout: time::Duration,
+) -> Result<http::Response<ureq::Body>, ureq::Error> {
+    for (name, value) in headers {
+        request = request.header(*name, value);
     }
+    let request = request.config().timeout_global(Some(timeout)).build();
+    request.send_json(body)
+}
+
+/// Whether a request failed because it had expired before all of it was sent.
+fn is_expired(error: &ureq::Error) -> bool {
+    let ureq::Error::Io(error) = error else {
+        return false;
+    };
+    let inner = error.get_ref();
+    inner.is_some_and(|inner| inner.is::<transport::Expired>())
 }
 
 fn read_response(
@@ -110,7 +151,11 @@
 ) -> Result<Response, failure::Failure> {
     let mut response = response.map_err(|error| {
         log::debug!("HTTP request failed: {error}");
-        failure::Failure::Unavailable
+        if is_expired(&error) {
+            failure::Failure::Expired
+        } else {
+            failure::Failure::Unavailable
+        }
     })?;
     let status = response.status().as_u16();
     let headers = std::mem::take(response.headers_mut());
--- a/components/store/src/failure.rs
+++ b/components/store/src/failure.rs
@@ -8,6 +8,9 @@
     /// The platform sent no response, or an error status.
     #[display("the platform does not answer")]
     Unavailable,
+    /// The request expired before all of it was sent, so it cannot take effect.
+    #[display("the request expired before it was sent")]
+    Expired,
     /// The response cannot be parsed.
     #[display("the platform's response cannot be parsed")]
     Malformed,
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -9,6 +9,7 @@
 mod failure;
 mod http;
 mod service;
+mod transport;
 
 pub use client::{Client, Response};
 pub use failure::Failure;
@@ -16,3 +17,4 @@
     Changes, PromotionScheme, PromotionService, Scheme, Service, Watch, open,
     open_promotion_service,
 };
+pub use transport::Validity;
--- a/components/store/src/service.rs
+++ b/components/store/src/service.rs
@@ -4,7 +4,7 @@
 
 use kernel::{event, view};
 
-use crate::failure;
+use crate::{failure, transport};
 
 /// The platform's row store and VM list.
 pub trait Service: Send + Sync {
@@ -52,8 +52,14 @@
 
 /// The platform's service that promotes instances to primary.
 pub trait PromotionService: Send + Sync {
-    /// Orders the promotion of an instance on behalf of the VM `holder`.
-    fn order_promotion(&self, holder: &str, order: &event::PromotionOrder) -> event::OrderOutcome;
+    /// Orders the promotion of an instance on behalf of the VM `holder`, as long as the
+    /// order is valid. An order without an answer can no longer arrive after the return.
+    fn order_promotion(
+        &self,
+        holder: &str,
+        order: &event::PromotionOrder,
+        validity: &transport::Validity,
+    ) -> event::OrderOutcome;
 }
 
 /// Registration of a [`Service`] plug-in for one URL scheme.
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -60,12 +60,12 @@
 
 /// Opens a TCP connection from the endpoint's local address.
 fn open_socket(endpoint: &Endpoint) -> Result<net::TcpStream, failure::Failure> {
-    let domain = socket2::Domain::for_address(endpoint.address);
-    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-    socket.bind(&net::SocketAddr::new(endpoint.source, 0).into())?;
-    socket.connect_timeout(&endpoint.address.into(), endpoint.timeout)?;
-    socket.set_tcp_nodelay(true)?;
-    Ok(socket.into())
+    let options = socket::Options {
+        source: Some(endpoint.source),
+        timeout: endpoint.timeout,
+        delivery: None,
+    };
+    Ok(socket::connect(endpoint.address, &options)?)
 }
 
 impl ServerConnection {
