Give control calls a deadline, and resume no replica during a replacement

A VM that was frozen could also send PAUSE, STEPDOWN and RESUME from its queue after it had woken.

Cause: RESUME was sent without a look at the right to use the leader, and the queue of calls to an instance had no deadline, unlike orders.

Change: RESUME is sent only under a valid assignment of the leader and until its end; PAUSE and STEPDOWN until the end of the claim, like orders. The deadline is checked when there is a connection.

Tests: no_vm_resumes_replication_while_the_leader_is_replaced fails without the check ("replication was resumed during a replacement"); the simulation checks this in all its runs. The deadlines of queued calls have no test of their own.

--- a/components/daemon/src/links.rs
+++ b/components/daemon/src/links.rs
@@ -24,6 +24,9 @@
     /// All connections that this VM may hold are in use.
     #[display("all connections are in use")]
     Full,
+    /// The call expired before it was sent.
+    #[display("the call expired before it was sent")]
+    Expired,
     /// The connection was lost.
     #[display("{_0}")]
     Lost(dialect::LinkFailure),
@@ -148,7 +151,8 @@
     }
 
     /// Makes a call to an instance over any idle connection, or over a new one of
-    /// the daemon itself.
+    /// the daemon itself, if the call is still valid once there is a connection. A call
+    /// without an answer is dropped with its connection.
     pub fn call(
         &self,
         group: &Name,
@@ -156,6 +160,7 @@
         address: net::SocketAddr,
         limit: time::Duration,
         call: monitor::Call,
+        is_valid: &dyn Fn() -> bool,
     ) -> Result<dialect::StatusReply, CallFailure> {
         let values = dialect::SessionValues::new();
         let spec = Spec {
@@ -174,12 +179,19 @@
                 self.connect(&spec, DAEMON_USER, limit),
             ),
         };
+        let link = match link {
+            Ok(link) if !is_valid() => {
+                self.pool.put(instance, &login, link);
+                return Err(CallFailure::Expired);
+            }
+            link => link,
+        };
         let answered = link.and_then(|mut link| {
             let status_reply = match call {
                 monitor::Call::Poll | monitor::Call::Promote(_) => link.status(limit),
-                monitor::Call::Fence(term) => link.fence(term, limit),
-                monitor::Call::Demote(term) => link.demote(term, limit),
-                monitor::Call::Resume => link.resume(limit),
+                monitor::Call::Fence(term, _) => link.fence(term, limit),
+                monitor::Call::Demote(term, _) => link.demote(term, limit),
+                monitor::Call::Resume(_) => link.resume(limit),
             };
             status_reply.map(|status_reply| (status_reply, link))
         });
--- a/components/daemon/src/monitor.rs
+++ b/components/daemon/src/monitor.rs
@@ -4,7 +4,7 @@
 use std::{io, net, sync, sync::mpsc, thread, time};
 
 use config::Name;
-use kernel::{event, position};
+use kernel::{event, position, time as kernel_time};
 
 use crate::{links, locks, runtime};
 
@@ -23,14 +23,27 @@
 pub enum Call {
     /// Report the status.
     Poll,
-    /// Accept a term; over a dialect, also pause replication.
-    Fence(position::Term),
+    /// Accept a term; over a dialect, also pause replication. Not made from the time on.
+    Fence(position::Term, kernel_time::Time),
     /// Become primary in a term.
     Promote(position::Term),
-    /// Step down if primary in a lower term.
-    Demote(position::Term),
-    /// Resume replication on an instance where a fence paused it.
-    Resume,
+    /// Step down if primary in a lower term. Not made from the time on.
+    Demote(position::Term, kernel_time::Time),
+    /// Resume replication on an instance where a fence paused it. Not made from the time
+    /// on.
+    Resume(kernel_time::Time),
+}
+
+impl Call {
+    /// Whether the call may be sent at a time.
+    pub fn is_valid(&self, now: kernel_time::Time) -> bool {
+        match self {
+            Call::Poll | Call::Promote(_) => true,
+            Call::Fence(_, deadline) | Call::Demote(_, deadline) | Call::Resume(deadline) => {
+                now < *deadline
+            }
+        }
+    }
 }
 
 /// Queue of calls to one instance, and the thread that makes them. The thread ends
@@ -138,7 +151,8 @@
     call: Call,
 ) {
     let sent = runtime.clock.now();
-    let status_reply = links.call(group, instance, address, TIMEOUT, call);
+    let is_valid = || call.is_valid(runtime.clock.now());
+    let status_reply = links.call(group, instance, address, TIMEOUT, call, &is_valid);
     let is_poll = matches!(call, Call::Poll);
     let mut status = None;
     match status_reply {
@@ -173,14 +187,14 @@
             sent,
             status,
         }),
-        Call::Fence(term) => event::Event::FenceAnswered(event::TermReply {
+        Call::Fence(term, _) => event::Event::FenceAnswered(event::TermReply {
             instance,
             term,
             accepted: status.is_some(),
             status,
         }),
-        Call::Resume => event::Event::ResumeAnswered(instance, status.is_some()),
-        Call::Promote(_) | Call::Demote(_) => return,
+        Call::Resume(_) => event::Event::ResumeAnswered(instance, status.is_some()),
+        Call::Promote(_) | Call::Demote(..) => return,
     });
 }
 
@@ -211,9 +225,9 @@
             sent,
             status: result.map(|(_, status)| status),
         }),
-        Call::Fence(term) => event::Event::FenceAnswered(term_reply(instance, term, result)),
+        Call::Fence(term, _) => event::Event::FenceAnswered(term_reply(instance, term, result)),
         Call::Promote(term) => event::Event::PromotionAnswered(term_reply(instance, term, result)),
-        Call::Demote(_) | Call::Resume => return,
+        Call::Demote(..) | Call::Resume(_) => return,
     });
 }
 
@@ -258,8 +272,8 @@
 ) -> Result<(bool, position::Status), wire::Failure> {
     let vm = &runtime.settings.vm;
     match call {
-        Call::Poll | Call::Demote(_) | Call::Resume => Ok((true, wire::query_status(server)?)),
-        Call::Fence(term) => wire::fence(server, term, vm),
+        Call::Poll | Call::Demote(..) | Call::Resume(_) => Ok((true, wire::query_status(server)?)),
+        Call::Fence(term, _) => wire::fence(server, term, vm),
         Call::Promote(term) => wire::promote(server, term, vm),
     }
 }
--- a/components/daemon/src/runtime.rs
+++ b/components/daemon/src/runtime.rs
@@ -142,8 +142,8 @@
                 self.answer(request, handle::Reply::Acknowledge(floor, until));
             }
             event::Action::Poll(instance) => self.call_monitor(&instance, monitor::Call::Poll),
-            event::Action::Fence(instance, term) => {
-                self.call_monitor(&instance, monitor::Call::Fence(term));
+            event::Action::Fence(instance, term, deadline) => {
+                self.call_monitor(&instance, monitor::Call::Fence(term, deadline));
             }
             event::Action::Promote(instance, term) => {
                 self.call_monitor(&instance, monitor::Call::Promote(term));
@@ -162,11 +162,11 @@
             event::Action::OrderPromotion(order) => {
                 self.call_platform(platform::Call::Order(order))
             }
-            event::Action::Demote(instance, term) => {
-                self.call_monitor(&instance, monitor::Call::Demote(term));
+            event::Action::Demote(instance, term, deadline) => {
+                self.call_monitor(&instance, monitor::Call::Demote(term, deadline));
             }
-            event::Action::ResumeReplication(instance) => {
-                self.call_monitor(&instance, monitor::Call::Resume)
+            event::Action::ResumeReplication(instance, deadline) => {
+                self.call_monitor(&instance, monitor::Call::Resume(deadline));
             }
             event::Action::AnswerOperator(submission, outcome) => {
                 if let Some(waiting) = locks::lock(&self.submissions).remove(&submission) {
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -520,12 +520,14 @@
                     term,
                     witness,
                 });
-                self.actions.push(event::Action::Fence(first, term));
+                self.actions
+                    .push(event::Action::Fence(first, term, time::Time(u64::MAX)));
             }
             promotion::Step::FenceOthers(term, first) => {
                 let names: Vec<_> = self.groups[group].group.instances.keys().cloned().collect();
                 for name in names.into_iter().filter(|name| *name != first) {
-                    self.actions.push(event::Action::Fence(name, term));
+                    self.actions
+                        .push(event::Action::Fence(name, term, time::Time(u64::MAX)));
                 }
             }
             promotion::Step::Promote(instance, term, lsn) => {
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -390,8 +390,8 @@
     /// Ask the instance for its status.
     Poll(Name),
     /// Ask the instance to accept a term; if the store arbitrates, also to pause
-    /// replication.
-    Fence(Name, position::Term),
+    /// replication. Not sent from the given time on.
+    Fence(Name, position::Term, time::Time),
     /// Ask the instance to become primary.
     Promote(Name, position::Term),
     /// Connect to peers at the addresses in this list.
@@ -410,10 +410,12 @@
     RestoreRows(Vec<RowChange>),
     /// Order the platform to promote an instance.
     OrderPromotion(PromotionOrder),
-    /// Ask the instance to step down if its term is below the given one.
-    Demote(Name, position::Term),
-    /// Ask a replica whose replication was paused to resume.
-    ResumeReplication(Name),
+    /// Ask the instance to step down if its term is below the given one. Not sent from
+    /// the given time on.
+    Demote(Name, position::Term, time::Time),
+    /// Ask a replica whose replication was paused to resume. Not sent from the given time
+    /// on.
+    ResumeReplication(Name, time::Time),
     /// Answer the operator who submitted a release note.
     AnswerOperator(SubmissionId, SubmissionOutcome),
     /// Apply the configuration of the given revision, now in force on this VM.
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -69,12 +69,14 @@
     BreakConnections(Name),
     /// Ask an instance for its status.
     Poll(Name),
-    /// Ask a replica to stop receiving the log, and fence it at the term.
-    PauseReplication(Name, position::Term),
-    /// Ask an instance to stop being primary for any term below this one.
-    Demote(Name, position::Term),
-    /// Ask an instance to receive the log again.
-    ResumeReplication(Name),
+    /// Ask a replica to stop receiving the log, and fence it at the term; not from the
+    /// given time on.
+    PauseReplication(Name, position::Term, time::Time),
+    /// Ask an instance to stop being primary for any term below this one; not from the
+    /// given time on.
+    Demote(Name, position::Term, time::Time),
+    /// Ask an instance to receive the log again; not from the given time on.
+    ResumeReplication(Name, time::Time),
     /// Order the platform to promote an instance.
     OrderPromotion(event::PromotionOrder),
     /// Record a note in the journal.
@@ -517,7 +519,12 @@
         }
         if is_row_newer && is_recorded {
             if let Some(old_leader) = &attempt.old_leader {
-                out.push(Step::Demote(old_leader.clone(), attempt.term.next()));
+                let deadline = context.now + ORDER_TIMEOUT;
+                out.push(Step::Demote(
+                    old_leader.clone(),
+                    attempt.term.next(),
+                    deadline,
+                ));
             }
             self.resume.start(&attempt, context);
             return None;
--- a/components/kernel/src/handover/resume.rs
+++ b/components/kernel/src/handover/resume.rs
@@ -51,15 +51,22 @@
         }
     }
 
-    /// Asks the instances that have not answered.
+    /// Asks the instances that have not answered. This VM may ask for as long as it may
+    /// use the leader; another VM that replaces the leader relies on paused replicas.
     pub(super) fn step(&mut self, context: &Context<'_>, out: &mut Vec<Step>) {
         let is_over = context.now.since(self.since) >= RESUME_TIMEOUT;
         self.waiting
             .retain(|name, _| !is_over && context.group.instances.contains_key(name));
+        let Some(assignment) = context.group.assignment() else {
+            return;
+        };
+        if context.now >= assignment.until {
+            return;
+        }
         for (name, sent) in &mut self.waiting {
             if sent.is_none_or(|at| context.now.since(at) >= RETRY_DELAY) {
                 *sent = Some(context.now);
-                out.push(Step::ResumeReplication(name.clone()));
+                out.push(Step::ResumeReplication(name.clone(), assignment.until));
             }
         }
     }
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -68,6 +68,11 @@
 }
 
 impl Attempt {
+    /// Time from which no call may be sent by right of the claim.
+    pub(super) fn deadline(&self) -> time::Time {
+        self.claim_sent + CLAIM_LIFETIME
+    }
+
     /// Whether an order is under way that the platform has not answered.
     pub(super) fn awaits_order(&self, now: time::Time) -> bool {
         match &self.stage {
@@ -138,7 +143,11 @@
     }
     if !ready.is_empty() {
         if let Some(old_leader) = &attempt.old_leader {
-            out.push(Step::Demote(old_leader.clone(), attempt.term.next()));
+            out.push(Step::Demote(
+                old_leader.clone(),
+                attempt.term.next(),
+                attempt.deadline(),
+            ));
         }
         return Stage::Ordering {
             candidates: rank_candidates(ready.into_iter().collect(), context),
@@ -170,10 +179,14 @@
     if !is_requested {
         let term = attempt.term.next();
         for name in &replicas {
-            out.push(Step::PauseReplication((*name).clone(), term));
+            out.push(Step::PauseReplication(
+                (*name).clone(),
+                term,
+                attempt.deadline(),
+            ));
         }
         if let Some(old_leader) = &attempt.old_leader {
-            out.push(Step::Demote(old_leader.clone(), term));
+            out.push(Step::Demote(old_leader.clone(), term, attempt.deadline()));
         }
     }
     let is_complete = !replicas.is_empty() && paused.len() >= replicas.len();
@@ -236,7 +249,7 @@
         group: context.group.name().clone(),
         instance: instance.clone(),
         fencing_token: token,
-        deadline: attempt.claim_sent + CLAIM_LIFETIME,
+        deadline: attempt.deadline(),
     }));
     // Dated ahead: repeated only after an answer, or after the time limit of the call.
     Stage::Ordering {
--- a/components/kernel/src/replacement.rs
+++ b/components/kernel/src/replacement.rs
@@ -130,15 +130,17 @@
                 self.actions.push(event::Action::BreakConnections(instance));
             }
             handover::Step::Poll(instance) => self.actions.push(event::Action::Poll(instance)),
-            handover::Step::PauseReplication(instance, term) => {
-                self.actions.push(event::Action::Fence(instance, term));
+            handover::Step::PauseReplication(instance, term, deadline) => {
+                self.actions
+                    .push(event::Action::Fence(instance, term, deadline));
             }
-            handover::Step::Demote(instance, term) => {
-                self.actions.push(event::Action::Demote(instance, term));
+            handover::Step::Demote(instance, term, deadline) => {
+                self.actions
+                    .push(event::Action::Demote(instance, term, deadline));
             }
-            handover::Step::ResumeReplication(instance) => {
+            handover::Step::ResumeReplication(instance, deadline) => {
                 self.actions
-                    .push(event::Action::ResumeReplication(instance));
+                    .push(event::Action::ResumeReplication(instance, deadline));
             }
             handover::Step::OrderPromotion(order) => {
                 self.actions.push(event::Action::OrderPromotion(order))
--- a/components/kernel/tests/instance_arbiter/mod.rs
+++ b/components/kernel/tests/instance_arbiter/mod.rs
@@ -395,7 +395,7 @@
                 let delivery = Delivery::Poll(vm, self.instance_index(&name), self.now);
                 self.schedule(STEP, delivery);
             }
-            event::Action::Fence(name, term) => {
+            event::Action::Fence(name, term, _) => {
                 let delivery = Delivery::Fence(vm, self.instance_index(&name), term);
                 self.schedule(STEP, delivery);
             }
--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -503,6 +503,34 @@
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
+/// Guards against replicas that one VM resumes while another VM relies on their pause.
+#[test]
+fn no_vm_resumes_replication_while_the_leader_is_replaced() {
+    let mut sim = Simulation::new(&Options::default());
+    sim.write_for(500);
+    sim.write_stale_claim();
+    while !sim.has_decision("leads term 1") {
+        assert!(sim.local_time(0) < kernel::time::Time(30_000_000));
+        sim.write_for(50);
+    }
+    // The next holder has to wait for a silent VM. Meanwhile an instance that had not
+    // answered the VM that resumes is in reach again.
+    let unreached: Vec<_> = (0..3).map(|vm| (vm, 2)).collect();
+    sim.cut_instances.extend(unreached.iter().copied());
+    sim.write_for(400);
+    let silent = (sim.last_order_sender().expect("a VM has ordered") + 1) % 3;
+    sim.paused.insert(silent);
+    let leader = sim.leader().expect("an instance leads");
+    sim.instances[leader].is_alive = false;
+    sim.write_for(1000);
+    for cut in unreached {
+        sim.cut_instances.remove(&cut);
+    }
+    sim.write_for(6000);
+    assert!(sim.promotion_orders.len() > 1, "{:?}", sim.decisions);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_restarted_fleet_is_ready_within_a_second() {
     let mut sim = Simulation::new(&Options::default());
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -499,13 +499,13 @@
                 let delivery = Delivery::Poll(vm, instance_index(&instance), sent);
                 self.schedule(LINK_DELAY, delivery);
             }
-            event::Action::Fence(instance, term) => {
+            event::Action::Fence(instance, term, _) => {
                 self.schedule(
                     LINK_DELAY,
                     Delivery::Fence(vm, instance_index(&instance), term),
                 );
             }
-            event::Action::Demote(instance, term)
+            event::Action::Demote(instance, term, _)
                 if !self
                     .cut_instances
                     .contains(&(vm, instance_index(&instance))) =>
@@ -515,7 +515,7 @@
                     Delivery::Demote(instance_index(&instance), term),
                 );
             }
-            event::Action::ResumeReplication(instance) => {
+            event::Action::ResumeReplication(instance, _) => {
                 self.schedule(
                     LINK_DELAY,
                     Delivery::ResumeReplication(vm, instance_index(&instance)),
--- a/components/kernel/tests/store_arbiter/network.rs
+++ b/components/kernel/tests/store_arbiter/network.rs
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Whether a VM has claimed the group's leader.
+    fn is_claimed(&self) -> bool {
+        let key = event::RowKey::Leader(name("orders"));
+        let row = self.store.row(&key);
+        matches!(row, Some(event::Row::Leader(_, leader)) if leader.claim.is_some())
+    }
+
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Event(vm, event) => self.dispatch(vm, event),
@@ -76,6 +83,10 @@
             Delivery::ResumeReplication(vm, instance) => {
                 let is_reached = self.can_reach(vm, instance);
                 if is_reached {
+                    if self.is_claimed() {
+                        self.violations
+                            .push("replication was resumed during a replacement".into());
+                    }
                     self.instances[instance].replication_paused = false;
                 }
                 let instance_name = name(&format!("db-{instance}"));
