Do not repeat a batch in which a transaction has committed

Cause: the refusal by a replica was taken as proof that nothing of the batch was kept. Change: not if the batch has a COMMIT that succeeded.

Tests: wire/tests/exchange.rs; a_batch_that_has_committed_is_not_repeated failed before (needs_primary: true). Cuts at each byte of an error reply were in doubt before, too.

--- a/components/wire/src/exchange.rs
+++ b/components/wire/src/exchange.rs
@@ -406,7 +406,8 @@
     ) -> BatchOutcome {
         let is_idle = status == b'I';
         let was_refused = self.error_sqlstate.as_deref() == Some(READ_ONLY_SQLSTATE);
-        let needs_primary = was_refused && is_idle && !self.has_flushed && !self.in_transaction;
+        let has_kept_nothing = is_idle && !self.in_transaction && !self.tags.has_commit;
+        let needs_primary = was_refused && has_kept_nothing && !self.has_flushed;
         if needs_primary {
             self.caller.output.truncate(reply_start);
         }
