Tell callers that a lost read may have run

Cause: the last refusal did not know of earlier attempts. Change: it then says "outcome unknown". The code of the refusal stays; a read keeps nothing.

Test: a_refusal_after_a_lost_read_does_not_claim_that_it_has_not_run, failed before ("not run; retry after 500 ms"). The PostgreSQL side has no test of its own.

--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -366,6 +366,11 @@
             }
         };
         self.record_outcome(telemetry::Outcome::Refused, start.elapsed());
+        let refusal = if lost_attempts > 0 {
+            refusal.after_lost_attempt()
+        } else {
+            refusal
+        };
         self.refuse(Some(planned.call), &refusal)
     }
 
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -239,6 +239,14 @@
         let deadline = std_time::Instant::now() + self.runtime.settings.limits.wait_timeout;
         let mut access = plan.access;
         let mut retry = false;
+        let mut has_lost = false;
+        let explain = |refusal: Refusal, has_lost: bool| {
+            if has_lost {
+                refusal.after_lost_attempt()
+            } else {
+                refusal
+            }
+        };
         loop {
             let in_transaction = self.connection.is_some();
             let connection = match self.connection.take() {
@@ -247,11 +255,14 @@
                     Ok(connection) => connection,
                     Err(refusal) => {
                         self.record_outcome(measure, telemetry::Outcome::Refused);
+                        let refusal = explain(refusal, has_lost);
                         return self.refuse(&refusal, plan.terminator);
                     }
                 },
             };
-            match self.attempt(plan, connection, in_transaction) {
+            let attempt = self.attempt(plan, connection, in_transaction);
+            has_lost |= matches!(attempt, Attempt::LostRead);
+            match attempt {
                 Attempt::Done(done) => {
                     let (exchange, connection) = *done;
                     return self.finish_exchange(exchange, connection, measure);
@@ -260,8 +271,9 @@
                     retry = true;
                     access = next_access.unwrap_or(access);
                 }
-                Attempt::Retry(_) => {
-                    let refusal = handle::unreachable_refusal();
+                Attempt::LostRead if std_time::Instant::now() < deadline => retry = true,
+                Attempt::Retry(_) | Attempt::LostRead => {
+                    let refusal = explain(handle::unreachable_refusal(), has_lost);
                     self.record_outcome(measure, telemetry::Outcome::Refused);
                     return self.refuse(&refusal, plan.terminator);
                 }
@@ -406,7 +418,7 @@
             {
                 self.discard(connection, event::RequestOutcome::ConnectionLost);
                 thread::sleep(RETRY_PAUSE);
-                Attempt::Retry(None)
+                Attempt::LostRead
             }
             Err(wire::BatchError::Server(_, true)) => {
                 self.discard(connection, event::RequestOutcome::ConnectionLost);
@@ -516,6 +528,8 @@
     Done(Box<(wire::BatchOutcome, Connection)>),
     /// The batch did not run; retry it, with this access if given.
     Retry(Option<event::Access>),
+    /// The connection broke, and the batch only reads; retry it.
+    LostRead,
     /// The connection broke; it is unknown whether the batch ran.
     Unknown,
     /// The caller has left, or its answer was cut off; the session must end.
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -142,6 +142,14 @@
         }
     }
 
+    /// The same refusal of a request that an earlier attempt may have executed.
+    pub fn after_lost_attempt(self) -> Self {
+        Self {
+            ran: Executed::Unknown,
+            ..self
+        }
+    }
+
     /// DETAIL field: whether the request was executed, and the retry hint.
     pub fn detail(&self) -> String {
         format!("{}; retry after {} ms", self.ran, self.retry_ms)
