Hold an order back until it is checked after its write

Cause: no check before a write covers a stop between the two. Change: the connection is corked before the write and uncorked after a second check. A process that is stopped before the write finds the order expired before its bytes leave, and resets the connection. One that is stopped after the write has the bytes sent by the system within 200 ms, before the end of the margin for the arrival of orders.

Not closed: a machine that is suspended with its kernel between the second check and the uncorking. Cancel requests that are given up are logged now.

--- a/components/daemon/src/handle.rs
+++ b/components/daemon/src/handle.rs
@@ -148,7 +148,10 @@
     pub fn cancel(&self) {
         let target = locks::lock(&self.cancel_target);
         if let Some(target) = *target {
-            let _ = wire::cancel(&target.endpoint, target.process, target.secret);
+            let cancelled = wire::cancel(&target.endpoint, target.process, target.secret);
+            if let Err(failure) = cancelled {
+                log::info!(target: "request", failure:%; "the cancel request is given up");
+            }
         }
     }
 }
--- a/components/store/src/transport.rs
+++ b/components/store/src/transport.rs
@@ -91,12 +91,6 @@
     }
 }
 
-impl Connection {
-    fn is_valid(&self) -> bool {
-        self.validity.as_ref().is_none_or(Validity::holds)
-    }
-}
-
 /// Time that is left, if it is limited; fails if none is left.
 fn remaining(timeout: transport::NextTimeout) -> Result<Option<time::Duration>, ureq::Error> {
     if timeout.after.is_zero() {
@@ -105,6 +99,26 @@
     Ok(timeout.not_zero().map(|limit| *limit))
 }
 
+/// Writes bytes that must not leave after the end of their validity, also if the process is
+/// stopped at any point. The system holds the bytes back until the second check, for at
+/// most 200 ms after the write.
+fn write_while(validity: &Validity, stream: &net::TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let socket = socket2::SockRef::from(stream);
+    if !validity.holds() {
+        return Err(io::Error::other(Expired));
+    }
+    if let Err(error) = socket.set_tcp_cork(true) {
+        log::warn!("cannot hold a request back until it is checked: {error}");
+    }
+    let mut stream = stream;
+    stream.write_all(bytes)?;
+    if !validity.holds() {
+        // Closing the connection drops the bytes.
+        return Err(io::Error::other("the request expired while it was sent"));
+    }
+    socket.set_tcp_cork(false)
+}
+
 fn map_error(error: io::Error, timeout: transport::NextTimeout) -> ureq::Error {
     match error.kind() {
         io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => ureq::Error::Timeout(timeout.reason),
@@ -124,18 +138,12 @@
     ) -> Result<(), ureq::Error> {
         use transport::Buffers;
         self.stream.set_write_timeout(remaining(timeout)?)?;
-        if !self.is_valid() {
-            return Err(io::Error::other(Expired).into());
-        }
         let output = &self.buffers.output()[..amount];
-        let written = (&self.stream).write_all(output);
-        written.map_err(|error| map_error(error, timeout))?;
-        // The process may have been stopped between the check and the write. The failure
-        // closes the connection, which drops what has not arrived.
-        if !self.is_valid() {
-            return Err(io::Error::other("the request expired while it was sent").into());
-        }
-        Ok(())
+        let written = match &self.validity {
+            Some(validity) => write_while(validity, &self.stream, output),
+            None => (&self.stream).write_all(output),
+        };
+        written.map_err(|error| map_error(error, timeout))
     }
 
     fn await_input(&mut self, timeout: transport::NextTimeout) -> Result<bool, ureq::Error> {
