--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -366,11 +366,7 @@
             }
         };
         self.record_outcome(telemetry::Outcome::Refused, start.elapsed());
-        let refusal = if lost_attempts > 0 {
-            refusal.after_lost_attempt()
-        } else {
-            refusal
-        };
+        let refusal = refusal.after_attempts(lost_attempts > 0);
         self.refuse(Some(planned.call), &refusal)
     }
 
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -240,13 +240,6 @@
         let mut access = plan.access;
         let mut retry = false;
         let mut has_lost = false;
-        let explain = |refusal: Refusal, has_lost: bool| {
-            if has_lost {
-                refusal.after_lost_attempt()
-            } else {
-                refusal
-            }
-        };
         loop {
             let in_transaction = self.connection.is_some();
             let connection = match self.connection.take() {
@@ -255,7 +248,7 @@
                     Ok(connection) => connection,
                     Err(refusal) => {
                         self.record_outcome(measure, telemetry::Outcome::Refused);
-                        let refusal = explain(refusal, has_lost);
+                        let refusal = refusal.after_attempts(has_lost);
                         return self.refuse(&refusal, plan.terminator);
                     }
                 },
@@ -273,7 +266,7 @@
                 }
                 Attempt::LostRead if std_time::Instant::now() < deadline => retry = true,
                 Attempt::Retry(_) | Attempt::LostRead => {
-                    let refusal = explain(handle::unreachable_refusal(), has_lost);
+                    let refusal = handle::unreachable_refusal().after_attempts(has_lost);
                     self.record_outcome(measure, telemetry::Outcome::Refused);
                     return self.refuse(&refusal, plan.terminator);
                 }
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -142,12 +142,14 @@
         }
     }
 
-    /// The same refusal of a request that an earlier attempt may have executed.
-    pub fn after_lost_attempt(self) -> Self {
-        Self {
-            ran: Executed::Unknown,
-            ..self
-        }
+    /// The same refusal after earlier attempts; a lost one may have executed the request.
+    pub fn after_attempts(self, has_lost: bool) -> Self {
+        let ran = if has_lost {
+            Executed::Unknown
+        } else {
+            self.ran
+        };
+        Self { ran, ..self }
     }
 
     /// DETAIL field: whether the request was executed, and the retry hint.
