--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -17,6 +17,8 @@
 use errors::Cause;
 use kernel::{Daemon, Setup, event, leader, position, time, view};
 
+/// Time for which a claim may be used.
+const CLAIM_LIFETIME: std_time::Duration = std_time::Duration::from_millis(6_500);
 /// Maximum age of the data that a read may show.
 const MAX_READ_AGE: std_time::Duration = std_time::Duration::from_millis(1_500);
 /// Key of the customer.
@@ -492,6 +494,15 @@
         }
     }
 
+    /// Checks that a control call expires before another VM may act on the group.
+    fn check_deadline(&mut self, vm: usize, deadline: time::Time) {
+        let remaining = deadline.since(self.local_time(vm));
+        if remaining.is_zero() || remaining > CLAIM_LIFETIME {
+            self.violations
+                .push(format!("a control call expires after {remaining:?}"));
+        }
+    }
+
     fn perform(&mut self, vm: usize, action: event::Action) {
         match action {
             event::Action::Poll(instance) => {
@@ -499,23 +510,26 @@
                 let delivery = Delivery::Poll(vm, instance_index(&instance), sent);
                 self.schedule(LINK_DELAY, delivery);
             }
-            event::Action::Fence(instance, term, _) => {
+            event::Action::Fence(instance, term, deadline) => {
+                self.check_deadline(vm, deadline);
                 self.schedule(
                     LINK_DELAY,
                     Delivery::Fence(vm, instance_index(&instance), term),
                 );
             }
-            event::Action::Demote(instance, term, _)
+            event::Action::Demote(instance, term, deadline)
                 if !self
                     .cut_instances
                     .contains(&(vm, instance_index(&instance))) =>
             {
+                self.check_deadline(vm, deadline);
                 self.schedule(
                     LINK_DELAY,
                     Delivery::Demote(instance_index(&instance), term),
                 );
             }
-            event::Action::ResumeReplication(instance, _) => {
+            event::Action::ResumeReplication(instance, deadline) => {
+                self.check_deadline(vm, deadline);
                 self.schedule(
                     LINK_DELAY,
                     Delivery::ResumeReplication(vm, instance_index(&instance)),
