Count a leader without a registration as silent

Cause: the lapsed entry takes the instance out of the group, so nobody polls it, and the silence that a claim waits for counted failed calls only.

Change: the group records that the assigned leader is not registered. Its silence counts at once for a daemon that knew it, whose entry has been kept for 3 s, and 3 s later for one that did not. A leader that registers again in time is not replaced.

Tests: a_leader_that_is_lost_while_its_service_is_idle_is_replaced failed before (no order). a_leader_that_registers_after_the_daemons_started_is_not_replaced guards the other side.

--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -38,6 +38,8 @@
 const SAMPLE_PERIOD: std_time::Duration = std_time::Duration::from_millis(250);
 /// Poll period for a leader while a request waits for its term.
 const TERM_POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(40);
+/// Time in which a live instance that a daemon does not know yet has registered.
+const REGISTRATION_TIME: std_time::Duration = std_time::Duration::from_secs(3);
 /// Poll period for a leader that does not answer.
 const FAILING_POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(150);
 
@@ -125,6 +127,8 @@
     /// Time since which calls to the leader fail; used only if the store
     /// arbitrates.
     failing_since: Option<time::Time>,
+    /// Time from which the leader counts as silent because it is not registered.
+    absent_since: Option<time::Time>,
     sampling: Sampling,
 }
 
@@ -177,6 +181,7 @@
             assignment: None,
             leader_demoted: false,
             failing_since: None,
+            absent_since: None,
             sampling: Sampling::default(),
         };
         group.configure(config, now);
@@ -192,12 +197,19 @@
     pub fn configure(&mut self, config: &config::Group, now: time::Time) {
         self.durability = config.durability;
         let members: collections::BTreeSet<_> = config.instances.iter().map(|i| &i.name).collect();
+        let knew_leader = self.is_leader_registered();
         self.instances.retain(|name, _| members.contains(name));
         for instance in &config.instances {
             let state = self.instances.entry(instance.name.clone()).or_default();
             state.leaving = instance.leaving;
             state.leaving_since = instance.leaving.then(|| state.leaving_since.unwrap_or(now));
         }
+        // A leader that this daemon knew has had its time to register again.
+        self.track_absence(if knew_leader {
+            now
+        } else {
+            now + REGISTRATION_TIME
+        });
     }
 
     /// Number of instances in a majority.
@@ -507,9 +519,8 @@
     /// Time for which no primary of the newest term has answered.
     pub fn silence(&self, now: time::Time) -> std_time::Duration {
         if self.arbiter == Arbiter::Store && self.assignment.is_some() {
-            return self
-                .failing_since
-                .map_or(std_time::Duration::ZERO, |since| now.since(since));
+            let since = self.absent_since.or(self.failing_since);
+            return since.map_or(std_time::Duration::ZERO, |since| now.since(since));
         }
         now.since(self.last_answer.max(self.term_changed))
     }
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Arbiter, Backoff, Confirmation, FAILING_POLL_PERIOD, Group, HISTORY_LEN, InstanceState,
-    Sampling, TERM_POLL_PERIOD,
+    REGISTRATION_TIME, Sampling, TERM_POLL_PERIOD,
 };
 use crate::{leader, position, sample, time};
 
@@ -264,14 +264,34 @@
             self.sample = None;
             self.leader_demoted = false;
             self.failing_since = None;
+            self.absent_since = None;
         }
         if let Some(assignment) = &assignment {
             self.newest_term = self.newest_term.max(assignment.term);
         }
         self.assignment = assignment;
+        self.track_absence(now + REGISTRATION_TIME);
         changed
     }
 
+    /// Whether the assigned leader is registered.
+    pub(super) fn is_leader_registered(&self) -> bool {
+        let leader = self.assignment.as_ref();
+        leader.is_some_and(|leader| self.instances.contains_key(&leader.instance))
+    }
+
+    /// Records whether the assigned leader is missing from the instances. Nobody polls such
+    /// a leader, so its silence counts from the given time on.
+    pub(super) fn track_absence(&mut self, silent_from: time::Time) {
+        let is_absent = self.assignment.is_some() && !self.is_leader_registered();
+        // Without any instance, the registrations have not been read yet.
+        if is_absent && !self.instances.is_empty() {
+            self.absent_since.get_or_insert(silent_from);
+        } else {
+            self.absent_since = None;
+        }
+    }
+
     /// Current assignment of the leader by the store.
     pub fn assignment(&self) -> Option<&leader::Assignment> {
         self.assignment.as_ref()
--- a/components/kernel/tests/leaders.rs
+++ b/components/kernel/tests/leaders.rs
@@ -503,6 +503,64 @@
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
+/// Guards against a lost leader that nobody misses because its service has no requests.
+#[test]
+fn a_leader_that_is_lost_while_its_service_is_idle_is_replaced() {
+    for restarts in [false, true] {
+        let mut sim = Simulation::new(&Options::default());
+        sim.write_for(500);
+        let first = sim.replace_first_leader();
+        sim.run(ms(1000));
+        let orders = sim.promotion_orders.len();
+        sim.instances[first].is_alive = false;
+        sim.run(ms(1500));
+        sim.lapsed_entries.insert(first);
+        if restarts {
+            sim.dead.extend([0, 1, 2]);
+            sim.run(ms(1000));
+            for vm in 0..3 {
+                sim.restart(vm);
+            }
+        }
+        sim.run(ms(7000));
+        assert_eq!(
+            sim.promotion_orders.len(),
+            orders + 1,
+            "{:?}",
+            sim.decisions
+        );
+        sim.write_for(1000);
+        assert!(sim.leader().is_some_and(|leader| leader != first));
+        assert_eq!(sim.refusals, []);
+        assert_eq!(sim.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against the replacement of a leader that the daemons do not know yet.
+#[test]
+fn a_leader_that_registers_after_the_daemons_started_is_not_replaced() {
+    let mut sim = Simulation::new(&Options::default());
+    sim.write_for(500);
+    let first = sim.replace_first_leader();
+    sim.run(ms(1000));
+    let orders = sim.promotion_orders.len();
+    sim.dead.extend([0, 1, 2]);
+    sim.lapsed_entries.extend([0, 1, 2]);
+    sim.run(ms(1000));
+    for vm in 0..3 {
+        sim.restart(vm);
+    }
+    sim.run(ms(500));
+    // The other instances reach the store first.
+    sim.lapsed_entries.retain(|instance| *instance == first);
+    sim.run(ms(2000));
+    sim.lapsed_entries.clear();
+    sim.write_for(6000);
+    assert_eq!(sim.promotion_orders.len(), orders, "{:?}", sim.decisions);
+    assert_eq!(sim.leader(), Some(first));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
 /// Guards against replicas that one VM resumes while another VM relies on their pause.
 #[test]
 fn no_vm_resumes_replication_while_the_leader_is_replaced() {
