Add fields for home regions, warm-up and evacuated failure domains

The parts that follow (evacuation, warm-up, home regions) share these fields, so that they can be built side by side. All are empty by default and nothing reads them yet; stored documents and messages without them are still read.

Run: formatter and linter. No test covers the fields yet.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -428,6 +428,7 @@
         burst: check_count(&raw.burst, "burst")?,
         weight,
         keys,
+        homes: collections::BTreeSet::new(),
     };
     Ok(note::Entry::Customer(parse_name(&raw.name)?, value))
 }
@@ -451,6 +452,7 @@
     let instances: Result<Vec<_>, _> = raw.instances.iter().map(parse_instance).collect();
     let value = fleet::Group {
         durability: raw.durability,
+        warmup: None,
         instances: instances?,
     };
     Ok(note::Entry::Group(name, value))
--- a/components/config/src/fleet.rs
+++ b/components/config/src/fleet.rs
@@ -33,12 +33,26 @@
     pub leaving: bool,
 }
 
+/// Load that an instance bears while its caches are cold, after a start or after its
+/// failure domain was evacuated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Warmup {
+    /// Time for which an instance is cold, in ms.
+    pub period_ms: u64,
+    /// Requests per second that a cold instance gets from the whole fleet.
+    pub rate: u32,
+}
+
 /// A primary and its replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Group {
     /// What a write waits for before it is acknowledged.
     pub durability: Durability,
+    /// Limit on the requests to a cold instance; none if instances need no warm-up.
+    #[serde(default)]
+    pub warmup: Option<Warmup>,
     /// The primary and the replicas.
     pub instances: Vec<Instance>,
 }
@@ -55,6 +69,10 @@
     pub weight: u32,
     /// Keys by name.
     pub keys: collections::BTreeMap<name::Name, key::KeyDigest>,
+    /// Regions in which the customer's requests may run, besides the caller's own; empty
+    /// if they may run in any region.
+    #[serde(default)]
+    pub homes: collections::BTreeSet<name::Name>,
 }
 
 /// Which writes a read on a route must see.
@@ -99,6 +117,10 @@
     /// Attempts for a request, the first one included; 0 if not set.
     #[serde(default)]
     pub attempts: u32,
+    /// Regions in which requests may run, besides the caller's own; empty if they may run
+    /// in any region.
+    #[serde(default)]
+    pub homes: collections::BTreeSet<name::Name>,
 }
 
 impl Route {
@@ -115,6 +137,7 @@
             target_ms: 0,
             priority: 0,
             attempts: 0,
+            homes: collections::BTreeSet::new(),
         }
     }
 }
@@ -129,6 +152,9 @@
     pub groups: collections::BTreeMap<name::Name, Group>,
     /// Routes by name.
     pub routes: collections::BTreeMap<name::Name, Route>,
+    /// Failure domains whose instances get no requests, on the operators' request.
+    #[serde(default)]
+    pub evacuated: collections::BTreeSet<name::Name>,
     /// Time for which a transaction may stay idle, in ms; 0 for the limit in the
     /// daemon's settings.
     #[serde(default)]
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use document::{Origin, read_note, read_settings};
 pub use failure::{Failure, Problem};
-pub use fleet::{Customer, Durability, Fleet, Group, Instance, ReadConsistency, Route};
+pub use fleet::{Customer, Durability, Fleet, Group, Instance, ReadConsistency, Route, Warmup};
 pub use key::KeyDigest;
 pub use name::Name;
 pub use note::{Change, Entry, Note, Withdrawal};
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -257,6 +257,7 @@
     let mut fleet = Fleet::default();
     let group = Group {
         durability: Durability::Primary,
+        warmup: None,
         instances: Vec::new(),
     };
     fleet.groups.insert(name(sim.aged_group), group.clone());
@@ -290,6 +291,7 @@
         } else {
             collections::BTreeMap::from([(name("first"), key)])
         },
+        homes: collections::BTreeSet::new(),
     };
     fleet.customers.insert(name("tienda"), customer);
     view::Document {
