Ask a replica again that did not confirm its pause

What callers saw: acknowledged commits were gone after a crash of the primary. A replica that was behind was promoted, though another one had every commit.

Cause: a replacement asks each replica once to pause. A replica that was busy, or not reached at that moment, was out, and the stage went on after 400 ms with whatever had answered.

Change: a replica whose answer is not a confirmation is asked again 20 ms after it, until the stage ends. The deadline of the calls is that of the claim, as before.

Ruled out: a repeat in the driver. Its queue also holds the polls of the instance, which would wait behind the repeats.

--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -583,7 +583,7 @@
         let now = self.now;
         if self.arbiter == group::Arbiter::Store {
             if let Some(state) = self.groups.get_mut(&name) {
-                state.handover.record_paused(reply);
+                state.handover.record_paused(reply, now);
             }
             return self.step_handover(&name);
         }
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -22,7 +22,7 @@
 
 pub use note::{Note, Reason};
 use resume::Resume;
-use stage::{Attempt, Stage};
+use stage::{Attempt, PauseRequest, Stage};
 
 /// Time after sending for which a claim may be used. It covers the wait for a
 /// silent VM, the pause of the replicas and one promotion order.
@@ -230,10 +230,13 @@
         }
     }
 
-    /// Records the answer of a replica to the request to pause replication.
-    pub fn record_paused(&mut self, fence: &event::TermReply) {
+    /// Records the answer of a replica to the request to pause replication. A replica that
+    /// did not confirm is asked again.
+    pub fn record_paused(&mut self, fence: &event::TermReply, now: time::Time) {
         let Some(Attempt {
-            stage: Stage::Pausing { paused, .. },
+            stage: Stage::Pausing {
+                requests, paused, ..
+            },
             ..
         }) = &mut self.attempt
         else {
@@ -245,6 +248,8 @@
                 lsn: status.received,
             };
             paused.insert(fence.instance.clone(), position);
+        } else if let Some(request) = requests.get_mut(&fence.instance) {
+            *request = PauseRequest::Failed(now);
         }
     }
 
@@ -579,11 +584,11 @@
             }
             Stage::Pausing {
                 since,
-                is_requested,
+                requests,
                 paused,
             } => {
                 attempt.stage =
-                    stage::pause_replicas(&attempt, since, is_requested, paused, context, out);
+                    stage::pause_replicas(&attempt, since, requests, paused, context, out);
             }
             Stage::Ordering { candidates, sent } => {
                 attempt.stage = stage::order(&attempt, candidates, sent, context, out);
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -13,6 +13,8 @@
 const CATCH_UP_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
 /// Time limit for the replicas to confirm that replication is paused.
 const PAUSE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
+/// Delay before a replica that has not confirmed the pause is asked again.
+const PAUSE_RETRY: std_time::Duration = std_time::Duration::from_millis(20);
 /// Poll period for an instance that a stage waits for.
 const POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(40);
 /// Time in which a promotion takes effect; the users state up to 1 s.
@@ -34,7 +36,7 @@
     },
     Pausing {
         since: time::Time,
-        is_requested: bool,
+        requests: collections::BTreeMap<Name, PauseRequest>,
         paused: collections::BTreeMap<Name, position::Position>,
     },
     Ordering {
@@ -51,6 +53,23 @@
     },
 }
 
+/// Last request to a replica to pause replication.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum PauseRequest {
+    Sent,
+    /// The replica was busy or not reached at this time.
+    Failed(time::Time),
+}
+
+impl PauseRequest {
+    fn is_due(self, now: time::Time) -> bool {
+        match self {
+            Self::Sent => false,
+            Self::Failed(at) => now.since(at) >= PAUSE_RETRY,
+        }
+    }
+}
+
 /// Replacement that this VM carries out.
 #[derive(Debug)]
 pub(super) struct Attempt {
@@ -85,7 +104,7 @@
 pub(super) fn start_pausing(now: time::Time) -> Stage {
     Stage::Pausing {
         since: now,
-        is_requested: false,
+        requests: collections::BTreeMap::new(),
         paused: collections::BTreeMap::new(),
     }
 }
@@ -167,7 +186,7 @@
 pub(super) fn pause_replicas(
     attempt: &Attempt,
     since: time::Time,
-    is_requested: bool,
+    mut requests: collections::BTreeMap<Name, PauseRequest>,
     paused: collections::BTreeMap<Name, position::Position>,
     context: &Context<'_>,
     out: &mut Vec<Step>,
@@ -176,17 +195,17 @@
     let replicas: Vec<_> = names
         .filter(|name| attempt.old_leader.as_ref() != Some(*name))
         .collect();
-    if !is_requested {
-        let term = attempt.term.next();
-        for name in &replicas {
-            out.push(Step::PauseReplication(
-                (*name).clone(),
-                term,
-                attempt.deadline(),
-            ));
-        }
-        if let Some(old_leader) = &attempt.old_leader {
-            out.push(Step::Demote(old_leader.clone(), term, attempt.deadline()));
+    let (term, deadline) = (attempt.term.next(), attempt.deadline());
+    if let Some(old_leader) = attempt.old_leader.as_ref().filter(|_| requests.is_empty()) {
+        out.push(Step::Demote(old_leader.clone(), term, deadline));
+    }
+    for name in &replicas {
+        let is_due = requests
+            .get(*name)
+            .is_none_or(|request| request.is_due(context.now));
+        if is_due && !paused.contains_key(*name) {
+            out.push(Step::PauseReplication((*name).clone(), term, deadline));
+            requests.insert((*name).clone(), PauseRequest::Sent);
         }
     }
     let is_complete = !replicas.is_empty() && paused.len() >= replicas.len();
@@ -202,7 +221,7 @@
     }
     Stage::Pausing {
         since,
-        is_requested: true,
+        requests,
         paused,
     }
 }
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -54,6 +54,8 @@
     pub term: u64,
     pub received: u64,
     pub replication_paused: bool,
+    /// Number of next requests to pause replication that the instance refuses as busy.
+    pub busy_fences: usize,
     /// Whether the instance receives nothing from the leader.
     pub replication_cut: bool,
     /// Start of the instance's process.
@@ -323,6 +325,7 @@
             term: 1,
             received: 10,
             replication_paused: false,
+            busy_fences: 0,
             replication_cut: false,
             started: 1,
         };
--- a/components/kernel/tests/store_arbiter/network.rs
+++ b/components/kernel/tests/store_arbiter/network.rs
@@ -62,12 +62,16 @@
             Delivery::Poll(vm, instance, sent) => self.answer_poll(vm, instance, sent),
             Delivery::Fence(vm, instance, term) => {
                 let is_reached = self.can_reach(vm, instance);
-                self.instances[instance].replication_paused |= is_reached;
+                let fake = &mut self.instances[instance];
+                let is_busy = is_reached && fake.busy_fences > 0;
+                fake.busy_fences -= usize::from(is_busy);
+                let accepted = is_reached && !is_busy;
+                fake.replication_paused |= accepted;
                 let reply = event::TermReply {
                     instance: name(&format!("db-{instance}")),
                     term,
-                    accepted: is_reached,
-                    status: is_reached.then(|| self.status(instance)),
+                    accepted,
+                    status: accepted.then(|| self.status(instance)),
                 };
                 self.schedule(
                     LINK_DELAY,
