Add evacuations of failure domains to release notes, and their time limit

Operators had no way to state that the instances of a failure domain must get nothing. A note lists the failure domain under `added: evacuated`, and under `withdrawn: evacuated` to take it back. A failure domain in which no instance stands, a second evacuation and the end of one that is not in force fail with their line and the correction.

`timing.evacuation` is the time that the users allow. Three fifths of it are given to open transactions, and the rest covers the time until a daemon learns of the evacuation and the last answers.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -147,6 +147,7 @@
     revocation: Option<Span<String>>,
     draining: Option<Span<String>>,
     drain: Option<Span<String>>,
+    evacuation: Option<Span<String>>,
     tick: Option<Span<String>>,
     rest: Option<Span<String>>,
 }
@@ -167,6 +168,12 @@
 /// rest covers a daemon that learns a second late that the instance is leaving,
 /// because its watch on the store has just broken.
 const DRAINING_PERCENT: u32 = 80;
+/// Share of the `evacuation` bound in which open transactions may run statements. The
+/// rest covers the time until a daemon learns of the evacuation.
+const EVACUATION_PERCENT: u32 = 60;
+/// Bound on the time in which a failure domain is evacuated, where the settings state
+/// none.
+const DEFAULT_EVACUATION: time::Duration = ms(5_000);
 
 const fn ms(n: u64) -> time::Duration {
     time::Duration::from_millis(n)
@@ -229,6 +236,7 @@
             Some(bound) => share_of(parse_duration(bound)?, DRAINING_PERCENT),
             None => ms(5_000),
         };
+        let evacuation = duration_or(raw.evacuation.as_ref(), DEFAULT_EVACUATION)?;
         let refusal_timeout = duration_or(raw.refusal.as_ref(), refusal_timeout)?;
         let lease = duration_or(raw.lease.as_ref(), ms(300))?;
         Ok(Self {
@@ -247,6 +255,7 @@
             stop_timeout: duration_or(raw.stop.as_ref(), ms(30_000))?,
             leave_period: duration_or(raw.leave.as_ref(), ms(0))?,
             drain_timeout: duration_or(raw.drain.as_ref(), drain)?,
+            evacuation_timeout: share_of(evacuation, EVACUATION_PERCENT),
             tick_period: duration_or(raw.tick.as_ref(), ms(2))?,
             idle_period: duration_or(raw.rest.as_ref(), ms(2))?,
         })
@@ -331,6 +340,7 @@
     customers: Vec<RawCustomer>,
     groups: Vec<RawGroup>,
     routes: Vec<RawRoute>,
+    evacuated: Vec<Span<String>>,
 }
 
 #[derive(Deserialize)]
@@ -392,6 +402,7 @@
     groups: Vec<Span<String>>,
     routes: Vec<Span<String>>,
     instances: Vec<Span<String>>,
+    evacuated: Vec<Span<String>>,
 }
 
 #[derive(Deserialize)]
@@ -500,6 +511,10 @@
     for raw in &raw.routes {
         push("route", &raw.name, parse_route(raw)?)?;
     }
+    for domain in &raw.evacuated {
+        let entry = note::Entry::Evacuation(parse_name(domain)?);
+        push("evacuation", domain, entry)?;
+    }
     Ok(())
 }
 
@@ -510,11 +525,12 @@
         push(what, key.key.referenced.line());
     }
     type Wrap = fn(name::Name) -> note::Withdrawal;
-    let lists: [(&Vec<Span<String>>, Wrap); 4] = [
+    let lists: [(&Vec<Span<String>>, Wrap); 5] = [
         (&raw.routes, note::Withdrawal::Route),
         (&raw.customers, note::Withdrawal::Customer),
         (&raw.groups, note::Withdrawal::Group),
         (&raw.instances, note::Withdrawal::Instance),
+        (&raw.evacuated, note::Withdrawal::Evacuation),
     ];
     for (list, wrap) in lists {
         for name in list {
--- a/components/config/src/failure.rs
+++ b/components/config/src/failure.rs
@@ -50,6 +50,9 @@
     /// An added entry that already exists.
     #[display("{_0} `{_1}` already exists; list it under `changed`")]
     AlreadyExists(&'static str, String),
+    /// A failure domain in which no instance stands.
+    #[display("failure domain `{_0}` has no instance; correct the name")]
+    UnknownDomain(String),
     /// A group without instances, which has no majority.
     #[display("group `{_0}` has no instance; list at least one")]
     EmptyGroup(String),
--- a/components/config/src/note.rs
+++ b/components/config/src/note.rs
@@ -16,6 +16,8 @@
     Group(name::Name, fleet::Group),
     /// A route.
     Route(name::Name, fleet::Route),
+    /// The evacuation of a failure domain.
+    Evacuation(name::Name),
 }
 
 /// An entry that a note withdraws.
@@ -32,6 +34,8 @@
     Route(name::Name),
     /// An instance; it stays in its group and gets no new transaction.
     Instance(name::Name),
+    /// The evacuation of a failure domain; its instances get requests again.
+    Evacuation(name::Name),
 }
 
 /// A change, with its line in the note.
@@ -107,6 +111,27 @@
         }
         Entry::Group(name, value) => insert("group", &mut fleet.groups, name, value, must_exist),
         Entry::Route(name, value) => insert("route", &mut fleet.routes, name, value, must_exist),
+        Entry::Evacuation(domain) => evacuate(fleet, domain, must_exist),
+    }
+}
+
+fn evacuate(
+    fleet: &mut fleet::Fleet,
+    domain: &name::Name,
+    must_exist: bool,
+) -> Result<(), failure::Problem> {
+    let mut instances = fleet.groups.values().flat_map(|group| &group.instances);
+    if !instances.any(|instance| instance.domain == *domain) {
+        return Err(failure::Problem::UnknownDomain(domain.to_string()));
+    }
+    let is_new = fleet.evacuated.insert(domain.clone());
+    match (is_new, must_exist) {
+        (false, false) => Err(failure::Problem::AlreadyExists(
+            "evacuation",
+            domain.to_string(),
+        )),
+        (true, true) => Err(failure::Problem::NotFound("evacuation", domain.to_string())),
+        _ => Ok(()),
     }
 }
 
@@ -152,6 +177,12 @@
                 .map(|instance| instance.leaving = true)
                 .ok_or_else(|| failure::Problem::NotFound("instance", name.to_string()))
         }
+        Withdrawal::Evacuation(domain) => {
+            let found = fleet.evacuated.remove(domain);
+            found
+                .then_some(())
+                .ok_or_else(|| failure::Problem::NotFound("evacuation", domain.to_string()))
+        }
     }
 }
 
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -65,6 +65,9 @@
     pub leave_period: time::Duration,
     /// Time for which a leaving instance may still get new transactions.
     pub drain_timeout: time::Duration,
+    /// Time after which an open transaction at an instance whose failure domain was
+    /// evacuated may run no further statement.
+    pub evacuation_timeout: time::Duration,
     /// Period of the checks for work that is due.
     pub tick_period: time::Duration,
     /// Period of these checks while no request waits.
--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -134,7 +134,58 @@
     assert_eq!(timing.refusal_timeout, ms(2700));
     assert_eq!(timing.lease, ms(2700));
     assert_eq!(timing.drain_timeout, ms(8000));
+    assert_eq!(timing.evacuation_timeout, ms(3000));
     let timing = read_timing("revocation: 5000ms, lease: 4200ms, drain: 1s");
     assert_eq!(timing.lease, ms(4200));
     assert_eq!(timing.drain_timeout, ms(1000));
+    let timing = read_timing("evacuation: 10s");
+    assert_eq!(timing.evacuation_timeout, ms(6000));
+}
+
+const EVACUATION: &str = "note: second\nadded:\n  evacuated: [sofia-1]\n";
+
+fn apply_text(text: &str, fleet: &Fleet) -> Result<Fleet, (u64, Problem)> {
+    let note = read_note(text, &origin()).map_err(|failure| (failure.line, failure.problem))?;
+    note.apply(fleet)
+}
+
+#[test]
+fn notes_evacuate_failure_domains_and_take_them_back() {
+    let fleet = apply_text(NOTE, &Fleet::default()).expect("a note that can be applied");
+    let evacuated = apply_text(EVACUATION, &fleet).expect("a note that can be applied");
+    assert_eq!(
+        evacuated.evacuated,
+        ["sofia-1".try_into().expect("a name")].into()
+    );
+    let withdrawal = EVACUATION.replace("added", "withdrawn");
+    let returned = apply_text(&withdrawal, &evacuated).expect("a note that can be applied");
+    assert_eq!(returned, fleet);
+}
+
+#[test]
+fn evacuations_that_do_not_apply_name_the_line() {
+    let fleet = apply_text(NOTE, &Fleet::default()).expect("a note that can be applied");
+    let evacuated = apply_text(EVACUATION, &fleet).expect("a note that can be applied");
+    let domain = || "sofia-1".to_string();
+    assert_eq!(
+        apply_text(EVACUATION, &evacuated),
+        Err((3, Problem::AlreadyExists("evacuation", domain())))
+    );
+    let withdrawal = EVACUATION.replace("added", "withdrawn");
+    assert_eq!(
+        apply_text(&withdrawal, &fleet),
+        Err((3, Problem::NotFound("evacuation", domain())))
+    );
+    let unknown = EVACUATION.replace("sofia-1", "sofia-9");
+    let (line, problem) = apply_text(&unknown, &fleet).expect_err("no instance stands there");
+    assert_eq!(
+        (line, &problem),
+        (3, &Problem::UnknownDomain("sofia-9".into()))
+    );
+    assert!(problem.to_string().contains("correct the name"));
+    let twice = EVACUATION.replace("[sofia-1]", "[sofia-1, sofia-1]");
+    assert_eq!(
+        apply_text(&twice, &fleet),
+        Err((3, Problem::Duplicate("evacuation", domain())))
+    );
 }
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -231,6 +231,7 @@
             stop_timeout: ms(6000),
             leave_period: ms(0),
             drain_timeout: ms(6000),
+            evacuation_timeout: ms(3000),
             tick_period: STEP,
             idle_period: STEP,
         },
--- a/components/testbed/src/plan.rs
+++ b/components/testbed/src/plan.rs
@@ -158,6 +158,7 @@
             stop_timeout: ms(10_000),
             leave_period: ms(0),
             drain_timeout: ms(5_000),
+            evacuation_timeout: ms(3000),
             tick_period: ms(2),
             idle_period: ms(2),
         }
