Keep evacuations of failure domains in the view of the store

The view keeps them in the part of the configuration, passes them on to followers and adds them to the configuration. They have no revision, so an update that holds nothing else counts as a change.

A store that comes back from an older copy may lack an evacuation, or have one that was taken back. The first stays in force. The second is recognized by the version of its entry, which is that of the entry that was removed; an entry with another version was written later and counts. Ruled out: to ignore all unknown entries in the first read after the return, since the operators may have written one by then.

--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -14,6 +14,7 @@
 use crate::{event, leader, position, time, version};
 
 mod change_log;
+mod evacuated;
 mod lapsed;
 
 /// A part of the store that is watched separately.
@@ -82,6 +83,9 @@
 pub enum Change {
     /// A new configuration.
     Configuration(sync::Arc<Document>),
+    /// The evacuation of a failure domain, with the version of its entry; none if the
+    /// failure domain was taken back.
+    Evacuation(Name, Option<u64>),
     /// An instance; none if its entry is gone.
     Instance(Name, Option<Registration>),
     /// An entry that cannot be parsed, and therefore registers no instance.
@@ -114,6 +118,7 @@
     proofs: collections::BTreeMap<Part, time::Time>,
     known_versions: collections::BTreeMap<Part, u64>,
     document: Option<sync::Arc<Document>>,
+    evacuated: evacuated::Evacuated,
     /// Newer revisions that other VMs have in force, with the time from which the store
     /// has to return them.
     reported_revisions: collections::BTreeMap<u64, time::Time>,
@@ -172,6 +177,10 @@
             changes.extend(self.without_lost(removals, restored_from.is_some()));
         }
         changes = self.without_returned(changes, update.whole, restored_from);
+        if part == Part::Configuration {
+            let is_copy = restored_from.is_some();
+            changes = self.evacuated.filter(changes, update.whole, is_copy);
+        }
         let mut changed = false;
         for change in changes {
             if self.apply_change(change.clone(), now) {
@@ -318,7 +327,8 @@
         match part {
             Part::Configuration => {
                 let document = self.document.iter().cloned();
-                document.map(Change::Configuration).collect()
+                let document = document.map(Change::Configuration);
+                document.chain(self.evacuated.entries()).collect()
             }
             Part::Instances => {
                 let all = self.instances.iter();
@@ -341,7 +351,7 @@
     /// Removals of the entries that a read of the whole part no longer names.
     fn removals(&self, part: Part, changes: &[Change]) -> Vec<Change> {
         match part {
-            Part::Configuration => Vec::new(),
+            Part::Configuration => self.evacuated.removals(changes),
             Part::Instances => {
                 let named = changes.iter().filter_map(|change| match change {
                     Change::Instance(name, _) | Change::Unreadable(name) => Some(name),
@@ -376,6 +386,7 @@
                 }
                 newer
             }
+            Change::Evacuation(domain, version) => self.evacuated.apply(domain, version),
             Change::Instance(name, Some(entry)) => {
                 self.lapsed.drop_replaced(&name, &entry);
                 self.instances.insert(name, entry.clone()) != Some(entry)
@@ -419,6 +430,7 @@
     pub fn fleet(&self) -> Option<(u64, Fleet)> {
         let document = self.document.as_ref()?;
         let mut fleet = document.fleet.clone();
+        fleet.evacuated.extend(self.evacuated.domains().cloned());
         for (name, entry) in self.usable_instances() {
             let Some(group) = fleet.groups.get_mut(&entry.group) else {
                 continue;
