Evacuate failure domains on the operators' request

Callers got requests served by instances that the operators wanted to be left alone: rows `evacuate/` in the operators' table were skipped as unknown.

Each VM closes the instances of an evacuated failure domain from the time at which it learns of it: instances that do not lead and idle connections at once, a leader after 0.3 of the bound unless it was replaced before, statements of open transactions after 0.6, and connections that are still in use after 0.8. A VM that starts into an evacuation closes all at once.

Leaders are moved by the planned replacement. Candidates stand outside of evacuated failure domains. If none of them has every commit in time, the claim gives the group back to its leader and is made again a second later; a leader that leaves is replaced as before. What only closed instances can run is refused with the cause `Evacuated`, not run, and a hint of one second.

Ruled out: to treat evacuated instances as leaving ones, since a leaving leader is replaced by force and its last commits may be lost; to break connections when the time for statements is over, since answers that are ready would be lost and commits left in doubt.

Decisions `evacuation`, `evacuation_due` and `taken_back`, three metrics, and a line for each transaction that ends for it.

--- a/components/daemon/src/admin.rs
+++ b/components/daemon/src/admin.rs
@@ -74,6 +74,13 @@
         )
     });
     runtime.metrics.set_control_state(waiting, revision, fresh);
+    let (domains, counts) = runtime.inspect(|kernel| {
+        let evacuations = kernel.evacuations();
+        (evacuations.len(), evacuations.counts())
+    });
+    runtime
+        .metrics
+        .set_evacuations(domains, counts.ended, counts.refused);
     runtime.metrics.encode()
 }
 
@@ -106,6 +113,7 @@
             "ready": kernel.is_ready(),
             "sessions": runtime.session_count(),
             "waiting": kernel.waiting_requests(),
+            "evacuated": kernel.fleet().evacuated,
             "groups": groups,
             "peers": peers,
         })
--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -283,6 +283,12 @@
         mut connection: Connection,
         call: Option<&dialect::Call>,
     ) {
+        let now = self.runtime.clock.now();
+        let may_continue = |kernel: &kernel::Daemon| kernel.may_continue(&connection.instance, now);
+        if !self.runtime.inspect(may_continue) {
+            // The instance rolls the transaction back when its connection closes.
+            return self.discard(links, connection, event::RequestOutcome::ConnectionLost);
+        }
         let (limit, _) = self.statement_limits();
         let rolled_back = match call {
             Some(call) => {
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -82,7 +82,7 @@
         links: &links::Links,
         planned: &PlannedCall<'_>,
     ) -> Result<(), dialect::CallerFailure> {
-        if let Err(refusal) = self.ensure_begun(links) {
+        if let Err(refusal) = self.ensure_begun(links, &planned.call.id) {
             return self.fail(Some(planned.call), &refusal);
         }
         let (limit, _) = self.statement_limits();
@@ -132,16 +132,24 @@
         self.refuse(call, refusal)
     }
 
-    /// Begins the transaction at an instance, unless it has already begun.
-    pub(super) fn ensure_begun(&mut self, links: &links::Links) -> Result<(), Refusal> {
+    /// Begins the transaction at an instance, unless it has already begun. The identifier is
+    /// that of the call that needs the transaction.
+    pub(super) fn ensure_begun(&mut self, links: &links::Links, id: &str) -> Result<(), Refusal> {
         let Some(transaction) = &self.transaction else {
             return Ok(());
         };
-        if transaction.connection.is_some() {
-            let is_fresh =
-                self.customer.is_none() || self.runtime.inspect(kernel::Daemon::is_fresh);
+        if let Some(connection) = &transaction.connection {
+            let (now, instance) = (self.runtime.clock.now(), &connection.instance);
+            let (is_fresh, may_continue) = self.runtime.inspect(|kernel| {
+                let is_fresh = self.customer.is_none() || kernel.is_fresh();
+                (is_fresh, kernel.may_continue(instance, now))
+            });
+            if !may_continue {
+                log::info!(target: "request", id, instance = &***instance;
+                    "the transaction ends, its instance is evacuated");
+            }
             let refusal = Refusal::new(Cause::TransactionLost, handle::UNREACHABLE_RETRY_MS);
-            return if is_fresh { Ok(()) } else { Err(refusal) };
+            return (is_fresh && may_continue).then_some(()).ok_or(refusal);
         }
         let (call, is_read_only) = (transaction.begin.clone(), transaction.is_read_only);
         let access = if is_read_only {
@@ -207,7 +215,7 @@
         links: &links::Links,
         call: &dialect::Call,
     ) -> Result<(), dialect::CallerFailure> {
-        if let Err(refusal) = self.ensure_begun(links) {
+        if let Err(refusal) = self.ensure_begun(links, &call.id) {
             let connection = self.transaction.take().and_then(|t| t.connection);
             if let Some(connection) = connection {
                 self.roll_back_connection(links, connection, None);
--- a/components/daemon/src/runtime.rs
+++ b/components/daemon/src/runtime.rs
@@ -154,6 +154,10 @@
                 self.cancel_in_background(process, secret)
             }
             event::Action::BreakConnections(instance) => self.disconnect(&instance),
+            event::Action::CloseIdleConnections(instance) => match &self.links {
+                Some(links) => links.close_idle(&instance),
+                None => self.pool.close_idle(&instance),
+            },
             event::Action::LoadRow(key) => self.call_platform(platform::Call::Load(key)),
             event::Action::ChangeRow(change) => self.call_platform(platform::Call::Write(change)),
             event::Action::RestoreRows(changes) => {
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -22,6 +22,8 @@
     NoCapacity,
     /// The group has no primary, or no database that may serve the request.
     Unavailable,
+    /// Only databases in evacuated failure domains may serve the request.
+    Evacuated,
     /// The daemon can no longer confirm which configuration is in force.
     Stale,
     /// The daemon is shutting down.
@@ -75,7 +77,7 @@
             Cause::RouteUnknown => "3D000",
             Cause::OverRate => "53400",
             Cause::NoCapacity => "53300",
-            Cause::Unavailable | Cause::Stale => "57P03",
+            Cause::Unavailable | Cause::Evacuated | Cause::Stale => "57P03",
             Cause::Stopping => "57P01",
             Cause::Unsupported => "0A000",
             Cause::Protocol => "08P01",
@@ -98,6 +100,7 @@
             Cause::OverRate => "the customer is over its rate and burst",
             Cause::NoCapacity => "no capacity before the deadline",
             Cause::Unavailable => "no database of the group may answer now",
+            Cause::Evacuated => "the databases that may answer are evacuated",
             Cause::Stale => "the configuration in force cannot be confirmed",
             Cause::Stopping => "the proxy is stopping; connect again",
             Cause::Unsupported => "the statement is not supported by the proxy",
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -256,6 +256,7 @@
             return self.refuse(&request, refusal);
         }
         self.dispatch(&group);
+        self.refuse_evacuated(&group);
     }
 
     pub(crate) fn refuse(&mut self, request: &event::Request, refusal: Refusal) {
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -8,8 +8,8 @@
 use errors::{Cause, Refusal};
 
 use crate::{
-    admission, budget, event, group, handover, idle, journal, load, membership, plugin, position,
-    promotion, read_policy, revision, sessions, time, view, view_sync,
+    admission, budget, evacuation, event, group, handover, idle, journal, load, membership, plugin,
+    position, promotion, read_policy, revision, sessions, time, view, view_sync,
 };
 
 /// Retry hint when no instance is available, in ms.
@@ -80,6 +80,7 @@
     pub(crate) view: view::View,
     pub(crate) store_watch: crate::store_watch::State,
     pub(crate) view_sync: view_sync::State,
+    pub(crate) evacuations: evacuation::State,
     pub(crate) arbiter: group::Arbiter,
     pub(crate) instance_groups: collections::HashMap<Name, Name>,
     pub(crate) busy_connections: collections::HashMap<Name, u32>,
@@ -119,6 +120,7 @@
             view: view::View::default(),
             store_watch: crate::store_watch::State::default(),
             view_sync: view_sync::State::default(),
+            evacuations: evacuation::State::default(),
             arbiter,
             members,
             setup,
@@ -357,9 +359,11 @@
 
     pub(crate) fn tick(&mut self) {
         self.tick_control();
+        self.end_evacuated();
         let groups: Vec<_> = self.groups.keys().cloned().collect();
         for group in &groups {
             self.refuse_expired(group);
+            self.refuse_evacuated(group);
             self.break_silent_connections(group);
             self.step_promotion(group);
             self.request_connections(group);
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -46,7 +46,9 @@
         }
         let primary = state.group.instances.get(&confirmation.primary);
         if self.free_and_busy(&confirmation.primary).0 == 0
-            || primary.is_some_and(|instance| self.has_drain_expired(instance))
+            || primary.is_some_and(|instance| {
+                self.has_drain_expired(instance) || instance.is_evacuated(true, self.now)
+            })
         {
             return false;
         }
@@ -106,6 +108,7 @@
             } else {
                 instance.leaving
             };
+            let is_closed = is_closed || instance.is_evacuated(is_primary, self.now);
             if is_closed || state.group.is_backing_off(name, self.now) {
                 continue;
             }
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -401,6 +401,8 @@
     /// Break the connections in use to the instance, because the instance was
     /// replaced or does not answer.
     BreakConnections(Name),
+    /// Close the idle connections to the instance.
+    CloseIdleConnections(Name),
     /// Read a row.
     LoadRow(RowKey),
     /// Write or remove a row if it has the expected version.
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -16,7 +16,7 @@
 
 use config::{Durability, Name};
 
-use crate::{leader, position, sample, time};
+use crate::{evacuation, leader, position, sample, time};
 
 mod store_arbiter;
 
@@ -56,6 +56,8 @@
     pub leaving: bool,
     /// Time since which the instance has been leaving.
     pub leaving_since: Option<time::Time>,
+    /// Limits on its use while its failure domain is evacuated.
+    pub evacuation: Option<evacuation::Limits>,
     /// Set while connections to the instance fail.
     backoff: Option<Backoff>,
     /// Floor that the instance had not reached, with the time of that answer.
@@ -489,7 +491,7 @@
     }
 
     /// First instance by name that answered a poll sent within `limit`;
-    /// instances that stay take precedence over leaving ones.
+    /// instances that stay take precedence over withdrawn ones.
     pub fn first_answering(&self, now: time::Time, limit: std_time::Duration) -> Option<Name> {
         let answering = self.instances.iter().filter(|(_, state)| {
             state
@@ -497,7 +499,7 @@
                 .is_some_and(|(sent, _)| now.since(sent) <= limit)
         });
         answering
-            .min_by_key(|(name, state)| (state.leaving, *name))
+            .min_by_key(|(name, state)| (state.is_withdrawn(), *name))
             .map(|(name, _)| name.clone())
     }
 
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -114,6 +114,7 @@
                 min_rtt: state.min_rtt,
                 leaving: state.leaving,
                 leaving_since: state.leaving_since,
+                evacuation: state.evacuation,
                 last_sent: state.last_sent,
                 pending_polls: state.pending_polls,
                 ..InstanceState::default()
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -46,6 +46,9 @@
 const RANK_DELAY: std_time::Duration = std_time::Duration::from_millis(200);
 /// Time for which a leader must have been leaving before it is replaced.
 const LEAVING_DELAY: std_time::Duration = std_time::Duration::from_millis(200);
+/// Delay after a claim has ended before a leader in an evacuated failure domain is
+/// claimed again.
+const EVACUATION_RETRY: std_time::Duration = std_time::Duration::from_millis(1_000);
 /// Additional silence required before a group without an assigned leader gets
 /// one.
 const LEADERLESS_DELAY: std_time::Duration = std_time::Duration::from_millis(2_000);
@@ -146,6 +149,8 @@
     token: u64,
     closing: Option<Closing>,
     claim_seen: Option<(leader::Claim, time::Time)>,
+    /// When a claim was last seen to have ended.
+    claim_ended: Option<time::Time>,
     last_number: u64,
     /// When this VM sent its last claim that the store accepted, if nobody has changed
     /// the row since.
@@ -347,7 +352,7 @@
         }
     }
 
-    /// Claims the group's row if the leader is lost or leaving and it is this
+    /// Claims the group's row if the leader is lost, leaving or evacuated and it is this
     /// VM's turn.
     fn maybe_claim(&mut self, context: &Context<'_>, out: &mut Vec<Step>) {
         if !context.is_eligible {
@@ -357,7 +362,9 @@
         if let Some(claim) = claim {
             return self.maybe_take_over(&claim.clone(), context, out);
         }
-        self.claim_seen = None;
+        if self.claim_seen.take().is_some() {
+            self.claim_ended = Some(context.now);
+        }
         let rank_delay = RANK_DELAY * u32::try_from(context.rank).unwrap_or(u32::MAX);
         if self.is_leader_leaving(context, rank_delay) {
             return self.claim_row(true, context, out);
@@ -410,8 +417,15 @@
             return false;
         };
         let is_due = |since: time::Time| context.now.since(since) >= LEAVING_DELAY + rank_delay;
-        let has_staying = context.group.instances.values().any(|state| !state.leaving);
-        state.leaving_since.is_some_and(is_due) && has_staying
+        let mut instances = context.group.instances.values();
+        let has_staying = instances.any(|state| !state.is_withdrawn());
+        // After a claim that has not moved the leader, its replicas get time to catch up.
+        let earliest = self.claim_ended.map(|ended| ended + EVACUATION_RETRY);
+        let evacuated_since = state
+            .evacuation
+            .map(|limits| limits.since.max(earliest.unwrap_or_default()));
+        let since = state.leaving_since.or(evacuated_since);
+        since.is_some_and(is_due) && has_staying
     }
 
     /// Takes over a claim whose holder can no longer use it.
@@ -518,7 +532,8 @@
             self.claimed_at = None;
         }
         if is_row_newer && is_recorded {
-            if let Some(old_leader) = &attempt.old_leader {
+            self.claim_ended = Some(context.now);
+            if let Some(old_leader) = attempt.replaced_leader() {
                 let deadline = context.now + ORDER_TIMEOUT;
                 out.push(Step::Demote(
                     old_leader.clone(),
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -64,6 +64,15 @@
         /// Time since the claim was sent, in ms.
         took_ms: u64,
     },
+    /// The leader stays, since no instance outside of the evacuated failure domains has
+    /// all its commits.
+    #[display("{instance} stays: no instance that may lead has every commit up to {received}")]
+    Kept {
+        /// Leader that stays.
+        instance: Name,
+        /// Last position of the leader.
+        received: position::Lsn,
+    },
     /// This VM has given up the replacement.
     #[display("given up: {why}")]
     GivenUp {
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -6,7 +6,7 @@
 use config::Name;
 
 use super::{CLAIM_LIFETIME, Context, Note, RETRY_DELAY, Step};
-use crate::{event, leader, position, time};
+use crate::{event, group, leader, position, time};
 
 /// Time limit for a replica to reach the last position of the old leader in a
 /// planned replacement.
@@ -73,6 +73,17 @@
         self.claim_sent + CLAIM_LIFETIME
     }
 
+    /// Leader that another one has replaced, if the attempt did not keep it.
+    pub(super) fn replaced_leader(&self) -> Option<&Name> {
+        let recorded = match &self.stage {
+            Stage::Recording { leader, .. } => leader.instance.as_ref(),
+            _ => None,
+        };
+        self.old_leader
+            .as_ref()
+            .filter(|old_leader| recorded != Some(*old_leader))
+    }
+
     /// Whether an order is under way that the platform has not answered.
     pub(super) fn awaits_order(&self, now: time::Time) -> bool {
         match &self.stage {
@@ -129,7 +140,8 @@
     let mut ready = collections::VecDeque::new();
     for (name, state) in &context.group.instances {
         let is_old = attempt.old_leader.as_ref() == Some(name);
-        let Some(status) = status_since(context, name, since).filter(|_| !is_old && !state.leaving)
+        let Some(status) =
+            status_since(context, name, since).filter(|_| !is_old && !state.is_withdrawn())
         else {
             continue;
         };
@@ -155,13 +167,56 @@
         };
     }
     if context.now.since(since) >= CATCH_UP_TIMEOUT {
-        return start_pausing(context.now);
+        let kept = keep_leader(attempt, since, context, out);
+        return kept.unwrap_or_else(|| start_pausing(context.now));
     }
     let names = context.group.instances.keys().cloned().collect();
     poll_instances(attempt, context, names, out);
     Stage::CatchingUp { since }
 }
 
+/// Gives the group back to its leader if the leader answers and is not leaving: it was
+/// claimed because of an evacuation, for which no commit may be lost.
+fn keep_leader(
+    attempt: &Attempt,
+    since: time::Time,
+    context: &Context<'_>,
+    out: &mut Vec<Step>,
+) -> Option<Stage> {
+    let instance = attempt.old_leader.clone()?;
+    let is_leaving = context.group.instances.get(&instance)?.leaving;
+    let status = status_since(context, &instance, since)?;
+    let is_leading = status.role == position::Role::Primary && status.term == attempt.term;
+    if is_leaving || !is_leading {
+        return None;
+    }
+    let known_start = context.leader.as_ref().map(|row| row.start);
+    let received = position::Position {
+        term: status.term,
+        lsn: status.received,
+    };
+    out.push(Step::Note(Note::Kept {
+        instance: instance.clone(),
+        received: status.received,
+    }));
+    let leader = leader::Leader {
+        instance: Some(instance),
+        term: attempt.term,
+        start: known_start
+            .filter(|start| *start != position::Position::default())
+            .unwrap_or(received),
+        claim: None,
+    };
+    out.push(Step::Write(
+        attempt.token.unwrap_or_default(),
+        leader.clone(),
+    ));
+    Some(Stage::Recording {
+        leader,
+        sent: Some(context.now),
+    })
+}
+
 /// Pauses replication on the replicas, so that their positions no longer
 /// change.
 pub(super) fn pause_replicas(
@@ -208,20 +263,20 @@
 }
 
 /// Sorts the candidates by descending position. Of candidates with equal
-/// positions, those that are not leaving and those in this region come first.
+/// positions, those that may stay and those in this region come first.
 fn rank_candidates(
     mut candidates: Vec<(Name, position::Position)>,
     context: &Context<'_>,
 ) -> collections::VecDeque<(Name, position::Position)> {
     candidates.sort_by_key(|(name, position)| {
-        let is_leaving = context
+        let is_withdrawn = context
             .group
             .instances
             .get(name)
-            .is_none_or(|state| state.leaving);
+            .is_none_or(group::InstanceState::is_withdrawn);
         let domain = context.view.registration(name).map(|entry| &entry.domain);
         let is_near = domain.and_then(|domain| context.regions.get(domain)) == Some(context.region);
-        (std::cmp::Reverse(*position), is_leaving, !is_near)
+        (std::cmp::Reverse(*position), is_withdrawn, !is_near)
     });
     candidates.into()
 }
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -174,6 +174,30 @@
         /// SQLSTATE of the first refusal.
         cause: String,
     },
+    /// A failure domain is evacuated.
+    #[display("failure domain {domain} evacuated: its {instances} instances get no new requests")]
+    Evacuation {
+        /// Failure domain.
+        domain: Name,
+        /// Number of its instances.
+        instances: usize,
+    },
+    /// The time for open transactions in an evacuated failure domain is over.
+    #[display("evacuation of {domain}: {open} open requests end")]
+    EvacuationDue {
+        /// Failure domain.
+        domain: Name,
+        /// Requests that hold a connection to one of its instances.
+        open: u64,
+    },
+    /// An evacuated failure domain was taken back.
+    #[display("failure domain {domain} taken back after {evacuated_ms} ms")]
+    TakenBack {
+        /// Failure domain.
+        domain: Name,
+        /// Time since this VM learned of the evacuation, in ms.
+        evacuated_ms: u64,
+    },
     /// The daemon is stopping.
     #[display("graceful stop with {sessions} sessions")]
     Stopping {
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -14,6 +14,7 @@
 mod daemon;
 mod dispatch;
 mod epochs;
+pub mod evacuation;
 pub mod event;
 pub mod group;
 pub mod handover;
--- a/components/kernel/src/promotion.rs
+++ b/components/kernel/src/promotion.rs
@@ -166,8 +166,8 @@
         Step::Fence(term, witness, first_instance)
     }
 
-    /// Replaces a primary that is leaving. The configuration in force marks the
-    /// primary as leaving, so no second failure domain has to agree.
+    /// Replaces a primary that is leaving or evacuated. The configuration in force
+    /// withdraws the primary, so no second failure domain has to agree.
     fn replace_leaving(
         &mut self,
         context: &Context,
@@ -176,8 +176,8 @@
         now: time::Time,
     ) -> Option<Step> {
         let confirmation = group.confirmation(now)?;
-        let is_leaving = group.instances.get(&confirmation.primary)?.leaving;
-        let has_staying = group.instances.values().any(|state| !state.leaving);
+        let is_leaving = group.instances.get(&confirmation.primary)?.is_withdrawn();
+        let has_staying = group.instances.values().any(|state| !state.is_withdrawn());
         if !is_leaving || !has_staying {
             self.leaving_since = None;
             return None;
@@ -320,12 +320,12 @@
     majority: usize,
     group: &group::Group,
 ) -> Option<(Name, position::Lsn)> {
-    let stays = |name: &Name| group.instances.get(name).is_some_and(|s| !s.leaving);
+    let stays = |name: &Name| group.instances.get(name).is_some_and(|s| !s.is_withdrawn());
     let staying: Vec<_> = accepted.iter().filter(|(name, _)| stays(name)).collect();
     let possible = group
         .instances
         .values()
-        .filter(|state| !state.leaving)
+        .filter(|state| !state.is_withdrawn())
         .count();
     let eligible = if possible >= majority {
         staying
--- a/components/kernel/src/replacement.rs
+++ b/components/kernel/src/replacement.rs
@@ -69,7 +69,7 @@
         rendezvous::select_voters(group, &names)
     }
 
-    /// Whether the group has an answering leader that is not leaving, and no
+    /// Whether the group has an answering leader that may stay, and no
     /// replacement is in progress.
     fn is_settled(&self, group: &Name) -> bool {
         let Some(state) = self.groups.get(group) else {
@@ -79,7 +79,7 @@
             return false;
         };
         let leader = state.group.instances.get(&assignment.instance);
-        let is_staying = leader.is_some_and(|state| !state.leaving);
+        let is_staying = leader.is_some_and(|state| !state.is_withdrawn());
         let silence = state.group.silence(self.now);
         is_staying && silence.is_zero() && state.handover.is_idle()
     }
--- a/components/kernel/src/requirement.rs
+++ b/components/kernel/src/requirement.rs
@@ -104,6 +104,9 @@
         let group = &self.groups.get(name)?.group;
         let confirmation = group.confirmation(now);
         let is_leader = confirmation.is_some_and(|confirmed| confirmed.primary == *instance);
+        if group.instances.get(instance)?.is_evacuated(is_leader, now) {
+            return None;
+        }
         let sample = session
             .max_age
             .and_then(|age| group.sample_of_age(age, now + TRANSIT_MARGIN));
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -145,6 +145,12 @@
     pub revision: u64,
     /// Rate and burst of the customer.
     pub rate_limit: (u32, u32),
+    /// Failure domains that the operators have evacuated.
+    pub evacuated: collections::BTreeSet<Name>,
+    /// VM and instance of each break of connections in use.
+    pub breaks: Vec<(usize, usize)>,
+    /// VM and instance of each closing of idle connections.
+    pub idle_closings: Vec<(usize, usize)>,
     /// Group of the route `aged`.
     pub aged_group: &'static str,
     /// Connections that an instance accepts.
@@ -360,6 +366,9 @@
             reported_vms: 0,
             revision: 7,
             rate_limit: options.rate_limit,
+            evacuated: collections::BTreeSet::new(),
+            breaks: Vec::new(),
+            idle_closings: Vec::new(),
             aged_group: "orders",
             connections: options.connections,
             key_withdrawn: false,
@@ -546,6 +555,12 @@
                 let sum = limits.map(|(_, limit)| *limit).sum();
                 self.peak_idle = self.peak_idle.max(sum);
             }
+            event::Action::BreakConnections(instance) => {
+                self.breaks.push((vm, instance_index(&instance)));
+            }
+            event::Action::CloseIdleConnections(instance) => {
+                self.idle_closings.push((vm, instance_index(&instance)));
+            }
             event::Action::Send(to, message) => self.send(vm, &to, message),
             event::Action::ChangeRow(change) => self.queue_write(vm, Write::Change(change)),
             event::Action::RestoreRows(changes) => self.queue_write(vm, Write::Restore(changes)),
--- a/components/kernel/tests/store_arbiter/store.rs
+++ b/components/kernel/tests/store_arbiter/store.rs
@@ -3,6 +3,7 @@
 
 use std::{collections, sync, time as std_time};
 
+use config::Name;
 use kernel::{event, time, version, view, view_sync};
 
 use super::{Delivery, LINK_DELAY, Simulation, Write, document, ms};
@@ -41,6 +42,9 @@
     /// Configuration and instances, each with the version of its last change.
     configuration: (u64, Option<view::Document>),
     instances: (u64, Vec<view::Change>),
+    /// Evacuated failure domains with the versions of their entries.
+    evacuations: collections::BTreeMap<Name, u64>,
+    evacuation_changes: Vec<(u64, Name)>,
 }
 
 impl Data {
@@ -131,9 +135,9 @@
                 let (version, document) = &self.data.configuration;
                 let document = document.clone().filter(|_| *version > since);
                 let document = document.into_iter();
-                document
-                    .map(|document| view::Change::Configuration(sync::Arc::new(document)))
-                    .collect()
+                let document =
+                    document.map(|document| view::Change::Configuration(sync::Arc::new(document)));
+                document.chain(self.evacuations(after)).collect()
             }
             view::Part::Instances => {
                 let (version, list) = &self.data.instances;
@@ -162,6 +166,41 @@
     }
 }
 
+impl Store {
+    /// Evacuations that changed after a version, or all without one.
+    fn evacuations(&self, after: Option<u64>) -> Vec<view::Change> {
+        let known = &self.data.evacuations;
+        let Some(after) = after else {
+            let all = known.iter();
+            return all
+                .map(|(domain, version)| view::Change::Evacuation(domain.clone(), Some(*version)))
+                .collect();
+        };
+        let changes = self.data.evacuation_changes.iter();
+        changes
+            .filter(|(version, _)| *version > after)
+            .map(|(_, domain)| view::Change::Evacuation(domain.clone(), known.get(domain).copied()))
+            .collect()
+    }
+}
+
+impl Data {
+    /// Writes and removes entries until these failure domains are evacuated.
+    fn set_evacuated(&mut self, evacuated: &collections::BTreeSet<Name>) {
+        let known: collections::BTreeSet<_> = self.evacuations.keys().cloned().collect();
+        for domain in known.symmetric_difference(evacuated) {
+            self.number += 1;
+            if evacuated.contains(domain) {
+                self.evacuations.insert(domain.clone(), self.number);
+            } else {
+                self.evacuations.remove(domain);
+            }
+            let version = self.version();
+            self.evacuation_changes.push((version, domain.clone()));
+        }
+    }
+}
+
 impl Simulation {
     /// Copies configuration and instances into the store if a test has changed them.
     pub(super) fn refresh_store(&mut self) {
@@ -173,6 +212,9 @@
             data.number += 1;
             data.configuration = (data.version(), Some(document));
         }
+        if !self.is_operator_away {
+            data.set_evacuated(&self.evacuated);
+        }
         if data.instances.1 != instances {
             data.number += 1;
             data.instances = (data.version(), instances);
--- a/components/peer/tests/view_parts.rs
+++ b/components/peer/tests/view_parts.rs
@@ -45,3 +45,23 @@
     let bytes = peer::encoded_size(&message::Message::ViewReply(view_reply(300)));
     assert!(bytes < 300 * 300 / 4, "{bytes}");
 }
+
+#[test]
+fn evacuations_arrive_unchanged() {
+    let pair = Pair::start();
+    let domain = name("domain-1");
+    let message = message::Message::ViewReply(message::ViewReply {
+        sent: time::Time(7),
+        parts: vec![message::PartUpdate {
+            part: view::Part::Configuration,
+            age: 5,
+            version: 9,
+            whole: false,
+            changes: vec![
+                view::Change::Evacuation(domain.clone(), Some(8)),
+                view::Change::Evacuation(domain, None),
+            ],
+        }],
+    });
+    assert_eq!(pair.send(message.clone()), (name("far"), message));
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -53,6 +53,9 @@
     waiting: gauge::Gauge,
     revision: gauge::Gauge,
     fresh: gauge::Gauge<i64, atomic::AtomicI64>,
+    evacuated: gauge::Gauge,
+    evacuation_ended: counter::Counter,
+    evacuation_refused: counter::Counter,
 }
 
 /// Upper bound of the first bucket.
@@ -79,6 +82,9 @@
             waiting: gauge::Gauge::default(),
             revision: gauge::Gauge::default(),
             fresh: gauge::Gauge::default(),
+            evacuated: gauge::Gauge::default(),
+            evacuation_ended: counter::Counter::default(),
+            evacuation_refused: counter::Counter::default(),
         };
         metrics.register();
         metrics
@@ -103,6 +109,21 @@
             "1 if keyed requests are accepted",
             self.fresh.clone(),
         );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that are evacuated",
+            self.evacuated.clone(),
+        );
+        registry.register(
+            "evacuation_ended",
+            "Requests that were open when their time in an evacuated failure domain was over",
+            self.evacuation_ended.clone(),
+        );
+        registry.register(
+            "evacuation_refused",
+            "Requests refused because only evacuated instances may run them",
+            self.evacuation_refused.clone(),
+        );
     }
 
     /// Records the outcome and latency of a request.
@@ -149,6 +170,16 @@
         self.fresh.set(i64::from(fresh));
     }
 
+    /// Records the number of evacuated failure domains, and how many requests evacuations
+    /// have ended and refused so far.
+    pub fn set_evacuations(&self, domains: usize, ended: u64, refused: u64) {
+        self.evacuated
+            .set(i64::try_from(domains).unwrap_or(i64::MAX));
+        let order = atomic::Ordering::Relaxed;
+        self.evacuation_ended.inner().store(ended, order);
+        self.evacuation_refused.inner().store(refused, order);
+    }
+
     /// All metrics in the OpenMetrics text format.
     pub fn encode(&self) -> String {
         let mut out = String::new();
--- a/components/telemetry/src/trace.rs
+++ b/components/telemetry/src/trace.rs
@@ -15,7 +15,14 @@
 const AFTER_MS: u64 = 500;
 
 /// Kinds of decisions that may affect a request in the same process.
-const LOCAL_KINDS: [&str; 3] = ["freshness", "epoch", "revision"];
+const LOCAL_KINDS: [&str; 6] = [
+    "freshness",
+    "epoch",
+    "revision",
+    "evacuation",
+    "evacuation_due",
+    "taken_back",
+];
 /// Kinds of decisions that may affect a request in any process.
 const FLEET_KINDS: [&str; 5] = ["handover", "primary", "evicted", "suspected", "promoting"];
 
--- a/components/telemetry/tests/trace.rs
+++ b/components/telemetry/tests/trace.rs
@@ -41,3 +41,21 @@
     );
     assert_eq!(telemetry::trace(&logs, "ef"), Vec::new());
 }
+
+#[test]
+fn trace_of_a_refusal_names_the_evacuation() {
+    let logs = [log(
+        "vm-1.log",
+        &[
+            r#"{"time_ms":8000,"message":"failure domain a evacuated","entry":{"kind":"evacuation"}}"#,
+            r#"{"time_ms":9200,"target":"request","message":"refused","id":"ab","cause":"Evacuated"}"#,
+        ],
+    )];
+    let lines = telemetry::trace(&logs, "ab");
+    let texts: Vec<_> = lines.iter().map(|line| line.text.as_str()).collect();
+    let expected = [
+        "failure domain a evacuated",
+        "refused id=ab cause=Evacuated",
+    ];
+    assert_eq!(texts, expected);
+}
