--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -147,6 +147,12 @@
     pub revision: u64,
     /// Rate and burst of the customer.
     pub rate_limit: (u32, u32),
+    /// Failure domains that the operators have evacuated.
+    pub evacuated: collections::BTreeSet<Name>,
+    /// VM and instance of each break of connections in use.
+    pub breaks: Vec<(usize, usize)>,
+    /// VM and instance of each closing of idle connections.
+    pub idle_closings: Vec<(usize, usize)>,
     /// Group of the route `aged`.
     pub aged_group: &'static str,
     /// Connections that an instance accepts.
@@ -233,6 +239,7 @@
             stop_timeout: ms(6000),
             leave_period: ms(0),
             drain_timeout: ms(6000),
+            evacuation_timeout: ms(3000),
             tick_period: STEP,
             idle_period: STEP,
         },
@@ -362,6 +369,9 @@
             reported_vms: 0,
             revision: 7,
             rate_limit: options.rate_limit,
+            evacuated: collections::BTreeSet::new(),
+            breaks: Vec::new(),
+            idle_closings: Vec::new(),
             aged_group: "orders",
             connections: options.connections,
             key_withdrawn: false,
@@ -548,6 +558,12 @@
                 let sum = limits.map(|(_, limit)| *limit).sum();
                 self.peak_idle = self.peak_idle.max(sum);
             }
+            event::Action::BreakConnections(instance) => {
+                self.breaks.push((vm, instance_index(&instance)));
+            }
+            event::Action::CloseIdleConnections(instance) => {
+                self.idle_closings.push((vm, instance_index(&instance)));
+            }
             event::Action::Send(to, message) => self.send(vm, &to, message),
             event::Action::ChangeRow(change) => self.queue_write(vm, Write::Change(change)),
             event::Action::RestoreRows(changes) => self.queue_write(vm, Write::Restore(changes)),
