Keep requests in the home regions of their route and customer

Callers saw: requests of a route or customer with home regions ran in any region; the field was not read.

Cause: no decision knew homes.

Change: `kernel::homes` decides which instances a request may use: those in a home of the route and of the customer, or in the region of the VM that the caller is connected to. It is asked on arrival, at each tick for requests that wait, at the grant and right before a statement is sent. While the leader is outside of the homes of reads that wait for its position, the leader is polled for it. Refusals are recorded once per second, route and customer, as decision `outside_homes`.

Ruled out: waiting until the deadline for an instance in the homes.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -341,6 +341,8 @@
     burst: Span<u64>,
     weight: Option<Span<u64>>,
     #[serde(default)]
+    homes: Vec<Span<String>>,
+    #[serde(default)]
     keys: Vec<RawKey>,
 }
 
@@ -382,6 +384,8 @@
     #[serde(default)]
     open: bool,
     age: Option<Span<String>>,
+    #[serde(default)]
+    homes: Vec<Span<String>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -409,6 +413,17 @@
     Ok(u32::try_from(value).unwrap_or(u32::MAX))
 }
 
+fn parse_homes(raw: &[Span<String>]) -> LocatedResult<collections::BTreeSet<name::Name>> {
+    let mut homes = collections::BTreeSet::new();
+    for region in raw {
+        if !homes.insert(parse_name(region)?) {
+            let problem = failure::Problem::Duplicate("home", region.value.clone());
+            return Err((region.referenced.line(), problem));
+        }
+    }
+    Ok(homes)
+}
+
 fn parse_customer(raw: &RawCustomer) -> LocatedResult<note::Entry> {
     let mut keys = collections::BTreeMap::new();
     for key in &raw.keys {
@@ -428,7 +443,7 @@
         burst: check_count(&raw.burst, "burst")?,
         weight,
         keys,
-        homes: collections::BTreeSet::new(),
+        homes: parse_homes(&raw.homes)?,
     };
     Ok(note::Entry::Customer(parse_name(&raw.name)?, value))
 }
@@ -472,6 +487,7 @@
         customers: customers?,
         open: raw.open,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        homes: parse_homes(&raw.homes)?,
         ..fleet::Route::new(parse_name(&raw.group)?)
     };
     Ok(note::Entry::Route(name, value))
--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -138,3 +138,27 @@
     assert_eq!(timing.lease, ms(4200));
     assert_eq!(timing.drain_timeout, ms(1000));
 }
+
+#[test]
+fn homes_are_read_and_checked() {
+    let with_homes = NOTE
+        .replace("burst: 50", "burst: 50\n      homes: [sofia, varna]")
+        .replace("customers: [tienda]", "customers: [tienda], homes: [sofia]");
+    let note = read_note(&with_homes, &origin()).expect("a valid note");
+    let fleet = note
+        .apply(&Fleet::default())
+        .expect("a note that can be applied");
+    let homes = |homes: &std::collections::BTreeSet<config::Name>| {
+        let names = homes.iter().map(ToString::to_string);
+        names.collect::<Vec<_>>()
+    };
+    assert_eq!(homes(&fleet.customers["tienda"].homes), ["sofia", "varna"]);
+    assert_eq!(homes(&fleet.routes["orders"].homes), ["sofia"]);
+    let (line, problem) = note_failure("burst: 50", "burst: 50\n      homes: [sofia, sofia]");
+    assert_eq!(
+        (line, problem),
+        (11, Problem::Duplicate("home", "sofia".into()))
+    );
+    let (_, problem) = note_failure("customers: [tienda]", "customers: [tienda], homes: ['a b']");
+    assert_eq!(problem, Problem::BadName("a b".into()));
+}
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -22,6 +22,9 @@
     NoCapacity,
     /// The group has no primary, or no database that may serve the request.
     Unavailable,
+    /// No database that may serve the request is in a home region of the route and the
+    /// customer, or in the caller's region.
+    OutsideHomes,
     /// The daemon can no longer confirm which configuration is in force.
     Stale,
     /// The daemon is shutting down.
@@ -76,6 +79,7 @@
             Cause::OverRate => "53400",
             Cause::NoCapacity => "53300",
             Cause::Unavailable | Cause::Stale => "57P03",
+            Cause::OutsideHomes => "55000",
             Cause::Stopping => "57P01",
             Cause::Unsupported => "0A000",
             Cause::Protocol => "08P01",
@@ -98,6 +102,7 @@
             Cause::OverRate => "the customer is over its rate and burst",
             Cause::NoCapacity => "no capacity before the deadline",
             Cause::Unavailable => "no database of the group may answer now",
+            Cause::OutsideHomes => "no database in an allowed region may answer now",
             Cause::Stale => "the configuration in force cannot be confirmed",
             Cause::Stopping => "the proxy is stopping; connect again",
             Cause::Unsupported => "the statement is not supported by the proxy",
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -119,6 +119,7 @@
             return Err(Refusal::new(Cause::Stale, daemon::UNAVAILABLE_RETRY_MS));
         }
         self.check_session(session)?;
+        self.check_homes(session, request.access)?;
         Ok(session.customer.clone())
     }
 
@@ -261,6 +262,9 @@
     pub(crate) fn refuse(&mut self, request: &event::Request, refusal: Refusal) {
         self.actions
             .push(event::Action::RefuseRequest(request.id, refusal));
+        if refusal.cause == Cause::OutsideHomes {
+            self.count_outside_homes(request.session);
+        }
         let session = self.sessions.open.get(&request.session);
         let Some(customer) = session.and_then(|s| s.customer.clone()) else {
             return;
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -35,6 +35,7 @@
         let fleet = self.fleet().clone();
         let revision = self.revision();
         self.configure_groups(&fleet);
+        self.regions.configure(&fleet, &self.setup.domain_regions);
         for (name, customer) in &fleet.customers {
             let limit = customer_limit(customer, &self.setup.limits);
             let resource = budget::Resource::Rate(name.clone());
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -8,8 +8,8 @@
 use errors::{Cause, Refusal};
 
 use crate::{
-    admission, budget, event, group, handover, idle, journal, load, membership, plugin, position,
-    promotion, read_policy, revision, sessions, time, view, view_sync,
+    admission, budget, event, group, handover, homes, idle, journal, load, membership, plugin,
+    position, promotion, read_policy, revision, sessions, time, view, view_sync,
 };
 
 /// Retry hint when no instance is available, in ms.
@@ -84,6 +84,8 @@
     pub(crate) instance_groups: collections::HashMap<Name, Name>,
     pub(crate) busy_connections: collections::HashMap<Name, u32>,
     pub(crate) idle_connections: idle::Connections,
+    pub(crate) regions: homes::Regions,
+    pub(crate) refused_homes: homes::Refused,
     pub(crate) rate_queues:
         collections::BTreeMap<Name, collections::VecDeque<admission::WaitingRequest>>,
     pub(crate) refusal_counts: collections::BTreeMap<Name, RefusalCount>,
@@ -121,6 +123,8 @@
             view_sync: view_sync::State::default(),
             arbiter,
             members,
+            regions: homes::Regions::new(setup.region.clone()),
+            refused_homes: homes::Refused::default(),
             setup,
             now,
             actions: Vec::new(),
@@ -360,6 +364,7 @@
         let groups: Vec<_> = self.groups.keys().cloned().collect();
         for group in &groups {
             self.refuse_expired(group);
+            self.refuse_outside_homes(group);
             self.break_silent_connections(group);
             self.step_promotion(group);
             self.request_connections(group);
@@ -367,6 +372,7 @@
         }
         self.admit_waiting();
         self.report_refusals();
+        self.report_outside_homes();
         self.record_freshness();
         self.record_readiness();
         self.report_load();
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -5,8 +5,8 @@
 use config::Name;
 
 use crate::{
-    admission, budget, daemon, event, group, position, read_policy, requirement::Requirement,
-    sessions, time,
+    admission, budget, daemon, event, group, homes, position, read_policy,
+    requirement::Requirement, sessions, time,
 };
 
 /// Time from a grant to the sending of the request for which a position of the leader
@@ -52,8 +52,11 @@
         }
         let (sessions, budgets, now) = (&self.sessions, &self.budgets, self.now);
         let mut lacking = collections::BTreeSet::new();
-        let mut has_token =
-            |item: &admission::WaitingRequest| can_run(sessions, budgets, item, now, &mut lacking);
+        let places = (&self.regions, &*self.revisions.head().fleet);
+        let mut has_token = |item: &admission::WaitingRequest| {
+            is_home(sessions, places, item, &confirmation.primary)
+                && can_run(sessions, budgets, item, now, &mut lacking)
+        };
         let item = self
             .groups
             .get_mut(group)
@@ -148,6 +151,7 @@
             return false;
         };
         let group_state = &state.group;
+        let places = (&self.regions, &*self.revisions.head().fleet);
         let item = state.read_queue.pop(&mut |item| {
             // The session has ended, so its consistency requirement is unknown.
             let Some(session) = sessions.open.get(&item.request.session) else {
@@ -158,11 +162,14 @@
             }
             let requirement = Requirement::of(group_state, session, now + GRANT_MARGIN);
             for candidate in &mut candidates {
-                candidate.is_fresh = requirement.is_met(group_state, session, candidate, now);
+                candidate.is_fresh = is_home(sessions, places, item, &candidate.name)
+                    && requirement.is_met(group_state, session, candidate, now);
                 candidate.has_connection =
                     !store_arbitrates || idle.has(&candidate.name, &session.customer);
             }
-            chosen_index = reads.choose(&candidates);
+            // A policy may ignore freshness, but no choice may leave the homes.
+            let is_home = |index: &usize| is_home(sessions, places, item, &candidates[*index].name);
+            chosen_index = reads.choose(&candidates).filter(is_home);
             chosen_index.is_some()
         });
         self.raise_demands(&lacking);
@@ -266,3 +273,17 @@
     }
     has_token
 }
+
+/// Whether the instance is in a region in which the request may run.
+fn is_home(
+    sessions: &sessions::Sessions,
+    (regions, fleet): (&homes::Regions, &config::Fleet),
+    item: &admission::WaitingRequest,
+    instance: &Name,
+) -> bool {
+    let session = sessions.open.get(&item.request.session);
+    session.is_some_and(|session| {
+        let customer = session.customer.as_ref();
+        homes::allow(regions.bounds(fleet, &session.route, customer), instance)
+    })
+}
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -195,6 +195,16 @@
         }
     }
 
+    /// Requests a poll of the leader unless it was polled recently, because reads that the
+    /// leader may not serve wait for its position.
+    pub fn request_position(&mut self, now: time::Time) {
+        let leader = self.primary().cloned();
+        let state = leader.and_then(|leader| self.instances.get(&leader));
+        if state.is_some_and(|state| now.since(state.last_sent) >= TERM_POLL_PERIOD) {
+            self.request_poll(now);
+        }
+    }
+
     /// Records a position of the leader that a peer has sent.
     pub fn record_peer_sample(&mut self, sample: sample::Sample) {
         if self.assignment.is_some() && self.newest_term == position::Term::default() {
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -174,6 +174,27 @@
         /// SQLSTATE of the first refusal.
         cause: String,
     },
+    /// Requests were refused because no instance in an allowed region could serve them.
+    #[display(
+        "{count} requests on {route} of {} refused outside of homes: route {}, customer {}",
+        customer.as_ref().map_or("-", |customer| customer),
+        list_regions(route_homes),
+        list_regions(customer_homes)
+    )]
+    OutsideHomes {
+        /// Group of the route, if the route still exists.
+        group: Option<Name>,
+        /// Route.
+        route: Name,
+        /// Customer; none on open routes.
+        customer: Option<Name>,
+        /// Number of refusals since the last entry.
+        count: u64,
+        /// Home regions of the route; empty if it has none.
+        route_homes: Vec<Name>,
+        /// Home regions of the customer; empty if it has none.
+        customer_homes: Vec<Name>,
+    },
     /// The daemon is stopping.
     #[display("graceful stop with {sessions} sessions")]
     Stopping {
@@ -182,6 +203,15 @@
     },
 }
 
+fn list_regions(regions: &[Name]) -> String {
+    let names: Vec<_> = regions.iter().map(ToString::to_string).collect();
+    if names.is_empty() {
+        "any region".into()
+    } else {
+        names.join(", ")
+    }
+}
+
 /// Why a VM is not ready.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod group;
 pub mod handover;
+pub mod homes;
 mod idle;
 pub mod journal;
 pub mod leader;
--- a/components/kernel/src/requirement.rs
+++ b/components/kernel/src/requirement.rs
@@ -9,7 +9,7 @@
 
 use config::Name;
 
-use crate::{daemon, event, group, position, read_policy, sessions, time};
+use crate::{daemon, event, group, homes, position, read_policy, sessions, time};
 
 /// Time that a request may take to the instance. A position of the leader must still be
 /// recent enough then.
@@ -102,6 +102,9 @@
         let session = self.sessions.open.get(&session)?;
         let name = self.instance_groups.get(instance)?;
         let group = &self.groups.get(name)?.group;
+        if !homes::allow(self.homes_of(session), instance) {
+            return None;
+        }
         let confirmation = group.confirmation(now);
         let is_leader = confirmation.is_some_and(|confirmed| confirmed.primary == *instance);
         let sample = session
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -60,6 +60,15 @@
     pub started: u64,
 }
 
+/// A granted request.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantRecord {
+    pub at: time::Time,
+    pub vm: usize,
+    pub instance: usize,
+    pub session: event::SessionId,
+}
+
 /// A message, call or answer in transit; the numbers are those of the VM and the
 /// instance.
 enum Delivery {
@@ -128,6 +137,11 @@
     pub refusals: Vec<Cause>,
     /// Granted requests: instance, and whether the grant names it as the primary.
     pub grants: Vec<(usize, bool)>,
+    /// Grants with their times.
+    pub grant_records: Vec<GrantRecord>,
+    /// Home regions of all routes, and of the customer.
+    pub route_homes: Vec<&'static str>,
+    pub customer_homes: Vec<&'static str>,
     /// Whether confirmations of transferred shares are lost.
     pub drop_confirmations: bool,
     pub transfer_requests: usize,
@@ -190,6 +204,9 @@
     pub rate_limit: (u32, u32),
     /// Connections that an instance accepts.
     pub connections: u32,
+    /// Regions of the instances' failure domains, in the order of the instances; the
+    /// region of a failure domain without an entry is unknown.
+    pub instance_regions: Vec<&'static str>,
     /// Lease of VM 0, where it differs from that of the other VMs.
     pub first_lease_ms: Option<u64>,
 }
@@ -202,11 +219,20 @@
             lease_ms: 1000,
             rate_limit: (1000, 1000),
             connections: 16,
+            instance_regions: Vec::new(),
             first_lease_ms: None,
         }
     }
 }
 
+/// Regions of the failure domains of the instances.
+fn instance_regions(options: &Options) -> collections::BTreeMap<Name, Name> {
+    let regions = options.instance_regions.iter().enumerate();
+    regions
+        .map(|(i, region)| (name(&format!("domain-{i}")), name(region)))
+        .collect()
+}
+
 fn daemon_setup(options: &Options, i: usize) -> Setup {
     let lease = options.first_lease_ms.filter(|_| i == 0);
     let region = options.regions.get(i).copied().unwrap_or("home");
@@ -218,7 +244,7 @@
         vm: name(&format!("vm-{i}")),
         domain: name(&domain),
         region: name(region),
-        domain_regions: collections::BTreeMap::new(),
+        domain_regions: instance_regions(options),
         peer_address: "127.0.0.1:1".into(),
         incarnation: 1 + i as u64,
         timing: config::Timing {
@@ -252,6 +278,10 @@
     }
 }
 
+fn names(raw: &[&str]) -> collections::BTreeSet<Name> {
+    raw.iter().map(|raw| name(raw)).collect()
+}
+
 fn document(sim: &Simulation) -> view::Document {
     let (revision, limit, connections) = (sim.revision, sim.rate_limit, sim.connections);
     let mut fleet = Fleet::default();
@@ -270,6 +300,7 @@
             open: true,
             age_ms: 1500,
             reads,
+            homes: names(&sim.route_homes),
             ..Route::new(name(group))
         };
         fleet.routes.insert(name(route), entry);
@@ -278,6 +309,7 @@
         customers: collections::BTreeSet::from([name("tienda")]),
         age_ms: 1500,
         reads: ReadConsistency::OwnAndAge,
+        homes: names(&sim.route_homes),
         ..Route::new(name("orders"))
     };
     fleet.routes.insert(name("keyed"), keyed);
@@ -291,7 +323,7 @@
         } else {
             collections::BTreeMap::from([(name("first"), key)])
         },
-        homes: collections::BTreeSet::new(),
+        homes: names(&sim.customer_homes),
     };
     fleet.customers.insert(name("tienda"), customer);
     view::Document {
@@ -350,6 +382,9 @@
             unknown_outcomes: 0,
             refusals: Vec::new(),
             grants: Vec::new(),
+            grant_records: Vec::new(),
+            route_homes: Vec::new(),
+            customer_homes: Vec::new(),
             drop_confirmations: false,
             transfer_requests: 0,
             cut_regions: false,
@@ -561,6 +596,12 @@
             event::Action::Grant(grant) => {
                 self.grants
                     .push((instance_index(&grant.instance), grant.primary));
+                self.grant_records.push(GrantRecord {
+                    at: self.now,
+                    vm,
+                    instance: instance_index(&grant.instance),
+                    session: event::SessionId(grant.request.0 >> 24),
+                });
                 if let Some(sent_at) = self.sent_at.remove(&grant.request) {
                     self.longest_wait = self.longest_wait.max(self.now.since(sent_at));
                 }
