--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -8,8 +8,8 @@
 use errors::{Cause, Refusal};
 
 use crate::{
-    admission, budget, evacuation, event, group, handover, idle, journal, load, membership, plugin,
-    position, promotion, read_policy, revision, sessions, time, view, view_sync,
+    admission, budget, evacuation, event, group, handover, homes, idle, journal, load, membership,
+    plugin, position, promotion, read_policy, revision, sessions, time, view, view_sync,
 };
 
 /// Retry hint when no instance is available, in ms.
@@ -85,6 +85,8 @@
     pub(crate) instance_groups: collections::HashMap<Name, Name>,
     pub(crate) busy_connections: collections::HashMap<Name, u32>,
     pub(crate) idle_connections: idle::Connections,
+    pub(crate) regions: homes::Regions,
+    pub(crate) refused_homes: homes::Refused,
     pub(crate) rate_queues:
         collections::BTreeMap<Name, collections::VecDeque<admission::WaitingRequest>>,
     pub(crate) refusal_counts: collections::BTreeMap<Name, RefusalCount>,
@@ -123,6 +125,8 @@
             evacuations: evacuation::State::default(),
             arbiter,
             members,
+            regions: homes::Regions::new(setup.region.clone()),
+            refused_homes: homes::Refused::default(),
             setup,
             now,
             actions: Vec::new(),
@@ -364,6 +368,7 @@
         for group in &groups {
             self.refuse_expired(group);
             self.refuse_evacuated(group);
+            self.refuse_outside_homes(group);
             self.break_silent_connections(group);
             self.step_promotion(group);
             self.request_connections(group);
@@ -371,6 +376,7 @@
         }
         self.admit_waiting();
         self.report_refusals();
+        self.report_outside_homes();
         self.record_freshness();
         self.record_readiness();
         self.report_load();
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod group;
 pub mod handover;
+pub mod homes;
 mod idle;
 pub mod journal;
 pub mod leader;
