Serve urgent requests first within the customers' turns

Callers saw: requests of the most urgent route waited behind all others of their customer and behind the turns of other customers, although the configuration ranks the routes.

Cause: `Route.priority` was read and no decision used it.

Change: the policy `fair` serves the more urgent request of a customer first, and a customer with a more urgent request may take its turn early, once per round of the rotation. Waits for a rate token follow the same order, and requests that have waited for a token for too long are refused wherever they stand. If all routes have one priority, the order is that of before.

Ruled out: strict priority across customers, because one customer with urgent requests would take every connection; a turn a customer without memory, because a customer that sends one urgent request after the other would pass in every turn.

--- a/components/config/src/fleet.rs
+++ b/components/config/src/fleet.rs
@@ -162,6 +162,13 @@
 }
 
 impl Fleet {
+    /// Whether some routes have another priority than others.
+    pub fn ranks_routes(&self) -> bool {
+        let mut priorities = self.routes.values().map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Names of the customer that holds the key and of the key.
     pub fn key_holder(&self, digest: &key::KeyDigest) -> Option<(&name::Name, &name::Name)> {
         let mut found = None;
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -1,7 +1,7 @@
 //! Checks that a session or a request passes before it is queued: keys, routes, rate
 //! limits and queue limits.
 
-use std::{collections, time as std_time};
+use std::time as std_time;
 
 use config::Name;
 use errors::{Cause, Refusal};
@@ -148,7 +148,7 @@
         let queue_length = self
             .rate_queues
             .get(customer)
-            .map_or(0, collections::VecDeque::len);
+            .map_or(0, admission::backlog::Backlog::len);
         if queue_length == 0 && self.budgets.has_token(customer, self.now) {
             return self.enqueue(request);
         }
@@ -166,12 +166,9 @@
         } else {
             MAX_TRANSFER_WAIT
         };
+        let item = self.waiting_request(request, max_wait);
         let queue = self.rate_queues.entry(customer.clone()).or_default();
-        queue.push_back(admission::WaitingRequest {
-            request,
-            queued_at: self.now,
-            deadline: self.now + max_wait,
-        });
+        queue.push(item);
         self.request_transfers();
     }
 
@@ -186,43 +183,69 @@
         }
     }
 
-    /// Queues the waiting requests whose customers have received tokens, in order of
-    /// arrival per customer.
+    /// Queues the waiting requests whose customers have received tokens, in the order of
+    /// the customer's backlog.
     pub(crate) fn admit_waiting(&mut self) {
         let customers: Vec<_> = self.rate_queues.keys().cloned().collect();
         for customer in customers {
-            loop {
-                let front = self
-                    .rate_queues
-                    .get_mut(&customer)
-                    .and_then(|l| l.front().copied());
-                let Some(front) = front else {
-                    self.rate_queues.remove(&customer);
-                    break;
-                };
-                let checked = self.check_request(&front.request);
-                let is_expired = front.deadline <= self.now;
-                if checked.is_ok() && !is_expired && !self.budgets.has_token(&customer, self.now) {
-                    break;
-                }
-                if let Some(queue) = self.rate_queues.get_mut(&customer) {
-                    queue.pop_front();
-                }
-                match checked {
-                    Err(refusal) => self.refuse(&front.request, refusal),
-                    Ok(_) if is_expired => {
-                        let wait = self.budgets.token_wait(&customer, 1);
-                        let refusal = self.no_token_refusal(wait);
-                        self.refuse(&front.request, refusal);
-                    }
-                    Ok(_) => {
-                        self.load
-                            .token_waits
-                            .record(self.now.since(front.queued_at));
-                        self.enqueue(front.request);
-                    }
+            self.refuse_without_token(&customer);
+            while let Some(item) = self.next_with_token(&customer) {
+                if let Err(refusal) = self.check_request(&item.request) {
+                    self.refuse(&item.request, refusal);
+                    continue;
                 }
+                self.load.token_waits.record(self.now.since(item.queued_at));
+                self.enqueue(item.request);
             }
+            self.rate_queues.retain(|_, backlog| !backlog.is_empty());
+        }
+    }
+
+    /// Refuses the requests of a customer that have waited for a token for too long, and
+    /// those that may not run any more.
+    fn refuse_without_token(&mut self, customer: &Name) {
+        let now = self.now;
+        let Some(backlog) = self.rate_queues.get_mut(customer) else {
+            return;
+        };
+        for item in backlog.extract_if(&mut |item| item.deadline <= now) {
+            let refusal = match self.check_request(&item.request) {
+                Err(refusal) => refusal,
+                Ok(_) => self.no_token_refusal(self.budgets.token_wait(customer, 1)),
+            };
+            self.refuse(&item.request, refusal);
+        }
+    }
+
+    /// Removes and returns the next request of a customer that waits for a token, if there
+    /// is a token or the request may not run any more.
+    fn next_with_token(&mut self, customer: &Name) -> Option<admission::WaitingRequest> {
+        let backlog = self.rate_queues.get(customer)?;
+        let index = backlog.select(None, &mut |_| true)?;
+        let is_refused = self.check_request(&backlog.get(index)?.request).is_err();
+        if !is_refused && !self.budgets.has_token(customer, self.now) {
+            return None;
+        }
+        self.rate_queues.get_mut(customer)?.remove(index)
+    }
+
+    /// Entry of a request for a queue, with its place in the order.
+    fn waiting_request(
+        &self,
+        request: event::Request,
+        max_wait: std_time::Duration,
+    ) -> admission::WaitingRequest {
+        let session = self.sessions.open.get(&request.session);
+        let route = session.and_then(|session| self.fleet().routes.get(&session.route));
+        let priority = route
+            .filter(|_| self.ranks_routes)
+            .map_or(0, |route| route.priority);
+        admission::WaitingRequest {
+            request,
+            queued_at: self.now,
+            arrived_at: self.now,
+            priority,
+            deadline: self.now + max_wait,
         }
     }
 
@@ -237,11 +260,7 @@
             .as_ref()
             .and_then(|name| self.fleet().customers.get(name))
             .map_or(1, |entry| entry.weight);
-        let item = admission::WaitingRequest {
-            request,
-            queued_at: self.now,
-            deadline: self.now + self.setup.limits.wait_timeout,
-        };
+        let item = self.waiting_request(request, self.setup.limits.wait_timeout);
         let Some(state) = self.groups.get_mut(&group) else {
             let refusal = Refusal::new(Cause::Unavailable, daemon::UNAVAILABLE_RETRY_MS);
             return self.refuse(&request, refusal);
@@ -306,7 +325,7 @@
             state.write_queue.extract_if(&mut is_abandoned);
         }
         for queue in self.rate_queues.values_mut() {
-            queue.retain(|item| item.request.id != id);
+            queue.extract_if(&mut is_abandoned);
         }
     }
 }
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -1,6 +1,6 @@
 //! Applies a new configuration to groups, budgets and sessions.
 
-use std::{collections, time as std_time};
+use std::time as std_time;
 
 use config::{Fleet, Name};
 use errors::{Cause, Refusal};
@@ -35,6 +35,7 @@
         let fleet = self.fleet().clone();
         let revision = self.revision();
         self.configure_groups(&fleet);
+        self.ranks_routes = fleet.ranks_routes();
         for (name, customer) in &fleet.customers {
             let limit = customer_limit(customer, &self.setup.limits);
             let resource = budget::Resource::Rate(name.clone());
@@ -183,9 +184,7 @@
             waiting.extend(state.write_queue.extract_if(&mut is_own));
         }
         for queue in self.rate_queues.values_mut() {
-            let (removed, kept) = queue.drain(..).partition(is_own);
-            *queue = kept;
-            waiting.extend::<collections::VecDeque<_>>(removed);
+            waiting.extend(queue.extract_if(&mut is_own));
         }
         for item in waiting {
             self.refuse(&item.request, refusal);
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -1,13 +1,13 @@
 //! The daemon's control plane: communication with peers, operators and the
 //! platform.
 
-use std::{collections, sync, time as std_time};
+use std::{sync, time as std_time};
 
 use config::Name;
 
 use crate::{
-    budget, daemon, epochs, event, group, journal, message, promotion, rendezvous, revision, time,
-    view,
+    admission, budget, daemon, epochs, event, group, journal, message, promotion, rendezvous,
+    revision, time, view,
 };
 
 /// Time after which an unanswered read of the store is repeated.
@@ -402,7 +402,7 @@
         let queues = &self.rate_queues;
         let waiting = |customer: &Name| {
             let queue = queues.get(customer);
-            let count = queue.map_or(0, collections::VecDeque::len);
+            let count = queue.map_or(0, admission::backlog::Backlog::len);
             u64::try_from(count).unwrap_or(u64::MAX)
         };
         for (peer, request) in self
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -84,11 +84,12 @@
     pub(crate) instance_groups: collections::HashMap<Name, Name>,
     pub(crate) busy_connections: collections::HashMap<Name, u32>,
     pub(crate) idle_connections: idle::Connections,
-    pub(crate) rate_queues:
-        collections::BTreeMap<Name, collections::VecDeque<admission::WaitingRequest>>,
+    pub(crate) rate_queues: collections::BTreeMap<Name, admission::backlog::Backlog>,
     pub(crate) refusal_counts: collections::BTreeMap<Name, RefusalCount>,
     pub(crate) load: load::Load,
     pub(crate) admission: &'static plugin::Admission,
+    /// Whether the routes of the configuration differ in priority.
+    pub(crate) ranks_routes: bool,
     pub(crate) read_policy: Box<dyn read_policy::Policy>,
     is_refusing: bool,
     unready_reason: Option<journal::UnreadyReason>,
@@ -136,6 +137,7 @@
             refusal_counts: collections::BTreeMap::new(),
             load: load::Load::default(),
             admission,
+            ranks_routes: false,
             read_policy,
             is_refusing: false,
             unready_reason: Some(journal::UnreadyReason::View),
@@ -269,7 +271,7 @@
             + self
                 .rate_queues
                 .values()
-                .map(collections::VecDeque::len)
+                .map(admission::backlog::Backlog::len)
                 .sum::<usize>()
     }
 
