--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -1,6 +1,6 @@
 //! Applies a new configuration to groups, budgets and sessions.
 
-use std::{collections, time as std_time};
+use std::time as std_time;
 
 use config::{Fleet, Name};
 use errors::{Cause, Refusal};
@@ -37,6 +37,7 @@
         self.configure_groups(&fleet);
         self.apply_evacuations(&fleet);
         self.regions.configure(&fleet, &self.setup.domain_regions);
+        self.ranks_routes = fleet.ranks_routes();
         for (name, customer) in &fleet.customers {
             let limit = customer_limit(customer, &self.setup.limits);
             let resource = budget::Resource::Rate(name.clone());
@@ -185,9 +186,7 @@
             waiting.extend(state.write_queue.extract_if(&mut is_own));
         }
         for queue in self.rate_queues.values_mut() {
-            let (removed, kept) = queue.drain(..).partition(is_own);
-            *queue = kept;
-            waiting.extend::<collections::VecDeque<_>>(removed);
+            waiting.extend(queue.extract_if(&mut is_own));
         }
         for item in waiting {
             self.refuse(&item.request, refusal);
