Refuse requests at once that can't be served in time

Callers saw: a request that found no place waited until its deadline (2.5 s) and was refused then; all callers of a crowd were told to return after the same 100 ms and came back as a crowd, behind requests that came after their first try.

Cause: one deadline for all, no estimate of the wait, constant hints.

Change, where routes differ in priority: the expected wait follows from the requests ahead in the order, the measured times for which requests hold a connection, and the measured pace of the customer's services. A request that would exceed its wait limit by a quarter is refused at once, not run. Hints are spread by a hash of the session over the time in which the queue empties. A session that returns in time, or tries again after a request that did not run, keeps the place of its first arrival. The decision `capacity_refusals` counts refusals by reason and priority. Elsewhere order, deadlines and hints are as before.

--- a/components/kernel/src/admission.rs
+++ b/components/kernel/src/admission.rs
@@ -9,7 +9,7 @@
 
 use config::Name;
 
-use crate::{event, plugin, time};
+use crate::{event, overload, plugin, time};
 
 pub mod backlog;
 pub mod fair;
@@ -40,12 +40,25 @@
     ) -> Result<(), WaitingRequest>;
     /// Removes and returns the next request that `ready` accepts. `ready` may be called
     /// for other requests as well, and is called last for the returned one.
-    fn pop(&mut self, ready: &mut dyn FnMut(&WaitingRequest) -> bool) -> Option<WaitingRequest>;
+    fn pop(
+        &mut self,
+        now: time::Time,
+        ready: &mut dyn FnMut(&WaitingRequest) -> bool,
+    ) -> Option<WaitingRequest>;
     /// Removes and returns all requests that `is_selected` accepts.
     fn extract_if(
         &mut self,
         is_selected: &mut dyn FnMut(&WaitingRequest) -> bool,
     ) -> Vec<WaitingRequest>;
+    /// Requests that are served before a request of the customer, if it were queued; those
+    /// of other customers count if `may_run` accepts the customer.
+    fn ahead(
+        &self,
+        customer: &Option<Name>,
+        weight: u32,
+        item: &WaitingRequest,
+        may_run: &dyn Fn(&Option<Name>) -> bool,
+    ) -> overload::Ahead;
     /// Number of queued requests.
     fn len(&self) -> usize;
     /// Whether the queue is empty.
@@ -93,7 +106,11 @@
         Ok(())
     }
 
-    fn pop(&mut self, ready: &mut dyn FnMut(&WaitingRequest) -> bool) -> Option<WaitingRequest> {
+    fn pop(
+        &mut self,
+        _now: time::Time,
+        ready: &mut dyn FnMut(&WaitingRequest) -> bool,
+    ) -> Option<WaitingRequest> {
         let index = self.items.iter().position(ready)?;
         self.items.remove(index)
     }
@@ -105,6 +122,20 @@
         extract_items(&mut self.items, is_selected)
     }
 
+    fn ahead(
+        &self,
+        _customer: &Option<Name>,
+        _weight: u32,
+        _item: &WaitingRequest,
+        _may_run: &dyn Fn(&Option<Name>) -> bool,
+    ) -> overload::Ahead {
+        overload::Ahead {
+            total: self.items.len(),
+            own: 0,
+            gap: None,
+        }
+    }
+
     fn len(&self) -> usize {
         self.items.len()
     }
--- a/components/kernel/src/admission/backlog.rs
+++ b/components/kernel/src/admission/backlog.rs
@@ -14,7 +14,7 @@
 pub const MAX_PASSES: u32 = 3;
 
 /// Waiting requests of one customer, in order of arrival.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Backlog {
     items: collections::VecDeque<WaitingRequest>,
     passes: u32,
--- a/components/kernel/src/admission/fair.rs
+++ b/components/kernel/src/admission/fair.rs
@@ -12,14 +12,19 @@
 use config::Name;
 
 use super::{Queue, WaitingRequest, backlog};
+use crate::{overload, time};
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct CustomerQueue {
     backlog: backlog::Backlog,
     weight: u32,
     deficit: u32,
     /// Number that grows along the rotation.
     ticket: u64,
+    /// Latest service since the queue was last empty.
+    served_at: Option<time::Time>,
+    /// Times between two services.
+    gaps: overload::Average,
 }
 
 /// Place of a request in the rotation and in its customer's queue.
@@ -31,7 +36,7 @@
 }
 
 /// Queue of the policy `fair`.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Fair {
     queues: collections::BTreeMap<Option<Name>, CustomerQueue>,
     rotation: collections::VecDeque<Option<Name>>,
@@ -104,10 +109,13 @@
         })
     }
 
-    fn remove(&mut self, place: Place) -> Option<WaitingRequest> {
+    fn remove(&mut self, place: Place, now: time::Time) -> Option<WaitingRequest> {
         let queue = self.queues.get_mut(&self.rotation[place.position])?;
         let item = queue.backlog.remove(place.index)?;
         queue.deficit = queue.deficit.saturating_sub(1);
+        if let Some(last) = queue.served_at.replace(now) {
+            queue.gaps.record(now.since(last), now);
+        }
         self.length -= 1;
         self.advance(place.position);
         Some(item)
@@ -170,17 +178,21 @@
         Ok(())
     }
 
-    fn pop(&mut self, ready: &mut dyn FnMut(&WaitingRequest) -> bool) -> Option<WaitingRequest> {
+    fn pop(
+        &mut self,
+        now: time::Time,
+        ready: &mut dyn FnMut(&WaitingRequest) -> bool,
+    ) -> Option<WaitingRequest> {
         let next = self.find_next(ready)?;
         let Some(urgent) = self.find_urgent(next, ready) else {
             // The search for a more urgent request may have called `ready` since.
             let queue = self.queues.get(&self.rotation[next.position])?;
             queue.backlog.get(next.index).map(ready);
-            return self.remove(next);
+            return self.remove(next, now);
         };
         let queue = self.queues.get(&self.rotation[urgent.position])?;
         queue.backlog.get(urgent.index).map(ready);
-        self.remove(urgent)
+        self.remove(urgent, now)
     }
 
     fn extract_if(
@@ -200,6 +212,45 @@
         extracted
     }
 
+    fn ahead(
+        &self,
+        customer: &Option<Name>,
+        weight: u32,
+        item: &WaitingRequest,
+        may_run: &dyn Fn(&Option<Name>) -> bool,
+    ) -> overload::Ahead {
+        let own = self.queues.get(customer);
+        let before = own.map_or(0, |queue| queue.backlog.count_before(item));
+        let weight = usize::try_from(weight.max(1)).unwrap_or(usize::MAX);
+        let deficit = own.map_or(weight, |queue| queue.deficit.max(1) as usize);
+        // Turns of the customer that end before the request's own turn.
+        let turns = if before < deficit {
+            0
+        } else {
+            (before - deficit) / weight + 1
+        };
+        let position = self.rotation.iter().position(|other| other == customer);
+        let position = position.unwrap_or(self.rotation.len());
+        let mut total = before;
+        for (index, other) in self.rotation.iter().enumerate() {
+            let Some(queue) = self.queues.get(other).filter(|_| index != position) else {
+                continue;
+            };
+            if !may_run(other) {
+                continue;
+            }
+            let is_passed = queue.backlog.priority().is_none_or(|p| p > item.priority);
+            let turns = turns + usize::from(index < position && !is_passed);
+            let turn = queue.weight.max(1) as usize;
+            total += queue.backlog.len().min(turns.saturating_mul(turn));
+        }
+        overload::Ahead {
+            total,
+            own: before,
+            gap: own.and_then(|queue| queue.gaps.get(item.queued_at)),
+        }
+    }
+
     fn len(&self) -> usize {
         self.length
     }
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -6,7 +6,7 @@
 use config::Name;
 use errors::{Cause, Refusal};
 
-use crate::{admission, daemon, event, journal, sessions};
+use crate::{admission, daemon, event, journal, overload, sessions};
 
 /// Longest wait of a request for a token from the refill of this VM's share.
 const MAX_REFILL_WAIT: std_time::Duration = std_time::Duration::from_millis(250);
@@ -76,6 +76,7 @@
             floor: request.token,
             reads: route.reads,
             opened_at: self.now,
+            arrival: None,
         })
     }
 
@@ -102,6 +103,9 @@
     }
 
     pub(crate) fn handle_request(&mut self, request: event::Request) {
+        if let Some(session) = self.sessions.open.get_mut(&request.session) {
+            session.record_arrival(self.now, request.retry);
+        }
         match self.check_request(&request) {
             Err(refusal) => self.refuse(&request, refusal),
             Ok(None) => self.enqueue(request),
@@ -236,15 +240,14 @@
         max_wait: std_time::Duration,
     ) -> admission::WaitingRequest {
         let session = self.sessions.open.get(&request.session);
+        let session = session.filter(|_| self.ranks_routes);
         let route = session.and_then(|session| self.fleet().routes.get(&session.route));
-        let priority = route
-            .filter(|_| self.ranks_routes)
-            .map_or(0, |route| route.priority);
+        let arrival = session.and_then(|session| session.arrival);
         admission::WaitingRequest {
             request,
             queued_at: self.now,
-            arrived_at: self.now,
-            priority,
+            arrived_at: arrival.map_or(self.now, |arrival| arrival.first),
+            priority: route.map_or(0, |route| route.priority),
             deadline: self.now + max_wait,
         }
     }
@@ -256,23 +259,27 @@
         };
         let customer = session.customer.clone();
         let group = session.group.clone();
-        let weight = customer
-            .as_ref()
-            .and_then(|name| self.fleet().customers.get(name))
-            .map_or(1, |entry| entry.weight);
+        let weight = self.weight(&customer);
         let item = self.waiting_request(request, self.setup.limits.wait_timeout);
+        let needs_latest = session.reads == config::ReadConsistency::Latest;
+        let access = match request.access {
+            event::Access::Read if !needs_latest => event::Access::Read,
+            _ => event::Access::Write,
+        };
+        let expected = self.expected_wait(&group, access, &customer, &item);
+        if let Some(expected) = expected.filter(|expected| self.must_miss(*expected, &item)) {
+            return self.refuse_capacity(&item, overload::Reason::Certain, Some(expected));
+        }
         let Some(state) = self.groups.get_mut(&group) else {
             let refusal = Refusal::new(Cause::Unavailable, daemon::UNAVAILABLE_RETRY_MS);
             return self.refuse(&request, refusal);
         };
-        let needs_latest = session.reads == config::ReadConsistency::Latest;
-        let queue = match request.access {
-            event::Access::Read if !needs_latest => &mut state.read_queue,
-            _ => &mut state.write_queue,
+        let queue = match access {
+            event::Access::Read => &mut state.read_queue,
+            event::Access::Write => &mut state.write_queue,
         };
         if queue.push(customer, weight, item).is_err() {
-            let refusal = Refusal::new(Cause::NoCapacity, daemon::CAPACITY_RETRY_MS);
-            return self.refuse(&request, refusal);
+            return self.refuse_capacity(&item, overload::Reason::QueueFull, expected);
         }
         self.dispatch(&group);
     }
--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -14,6 +14,12 @@
             *busy = busy.saturating_sub(1);
         }
         self.track_connection(&granted, outcome);
+        if matches!(
+            outcome,
+            event::RequestOutcome::Uncommitted | event::RequestOutcome::Committed(_)
+        ) {
+            self.record_hold(&granted.instance, granted.granted_at);
+        }
         let group = granted.group.clone();
         let store_arbitrates = self.arbiter == group::Arbiter::Store;
         if let Some(state) = self.groups.get_mut(&group).filter(|_| store_arbitrates) {
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -36,6 +36,9 @@
         let revision = self.revision();
         self.configure_groups(&fleet);
         self.ranks_routes = fleet.ranks_routes();
+        let instances = &self.instance_groups;
+        self.hold_times
+            .retain(&|instance| instances.contains_key(instance));
         for (name, customer) in &fleet.customers {
             let limit = customer_limit(customer, &self.setup.limits);
             let resource = budget::Resource::Rate(name.clone());
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -8,8 +8,8 @@
 use errors::{Cause, Refusal};
 
 use crate::{
-    admission, budget, event, group, handover, idle, journal, load, membership, plugin, position,
-    promotion, read_policy, revision, sessions, time, view, view_sync,
+    admission, budget, event, group, handover, idle, journal, load, membership, overload, plugin,
+    position, promotion, read_policy, revision, sessions, time, view, view_sync,
 };
 
 /// Retry hint when no instance is available, in ms.
@@ -86,6 +86,7 @@
     pub(crate) idle_connections: idle::Connections,
     pub(crate) rate_queues: collections::BTreeMap<Name, admission::backlog::Backlog>,
     pub(crate) refusal_counts: collections::BTreeMap<Name, RefusalCount>,
+    pub(crate) hold_times: overload::HoldTimes,
     pub(crate) load: load::Load,
     pub(crate) admission: &'static plugin::Admission,
     /// Whether the routes of the configuration differ in priority.
@@ -135,6 +136,7 @@
             idle_connections: idle::Connections::default(),
             rate_queues: collections::BTreeMap::new(),
             refusal_counts: collections::BTreeMap::new(),
+            hold_times: overload::HoldTimes::default(),
             load: load::Load::default(),
             admission,
             ranks_routes: false,
@@ -404,26 +406,6 @@
         }
     }
 
-    /// Refuses the requests that have waited past their deadline.
-    pub(crate) fn refuse_expired(&mut self, group: &Name) {
-        let now = self.now;
-        let Some(state) = self.groups.get_mut(group) else {
-            return;
-        };
-        let mut is_expired = |item: &admission::WaitingRequest| item.deadline <= now;
-        let mut expired = state.read_queue.extract_if(&mut is_expired);
-        expired.extend(state.write_queue.extract_if(&mut is_expired));
-        let has_primary = state.group.confirmation(now).is_some();
-        for item in expired {
-            let refusal = if has_primary {
-                Refusal::new(Cause::NoCapacity, CAPACITY_RETRY_MS)
-            } else {
-                Refusal::new(Cause::Unavailable, UNAVAILABLE_RETRY_MS)
-            };
-            self.refuse(&item.request, refusal);
-        }
-    }
-
     pub(crate) fn record_freshness(&mut self) {
         let fresh = self.is_fresh();
         if fresh != self.is_refusing {
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -57,7 +57,7 @@
         let item = self
             .groups
             .get_mut(group)
-            .and_then(|state| state.write_queue.pop(&mut has_token));
+            .and_then(|state| state.write_queue.pop(now, &mut has_token));
         self.raise_demands(&lacking);
         let Some(item) = item else {
             return false;
@@ -148,7 +148,7 @@
             return false;
         };
         let group_state = &state.group;
-        let item = state.read_queue.pop(&mut |item| {
+        let item = state.read_queue.pop(now, &mut |item| {
             // The session has ended, so its consistency requirement is unknown.
             let Some(session) = sessions.open.get(&item.request.session) else {
                 return false;
@@ -211,6 +211,7 @@
             group: group.clone(),
             instance: instance.clone(),
             term,
+            granted_at: self.now,
         };
         self.sessions.granted.insert(request.id, granted);
         if let Some(state) = self.groups.get_mut(group) {
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -105,6 +105,24 @@
         /// Requests of peers that this VM met.
         gives: u64,
     },
+    /// Requests refused for lack of capacity since the last entry.
+    #[display(
+        "no capacity for {} requests: {at_once} refused at once, {queue_full} at a full queue, \
+        {expired} at their deadline; expected wait up to {expected_ms} ms; by priority {priorities:?}",
+        at_once + queue_full + expired
+    )]
+    CapacityRefusals {
+        /// Requests that could not have been served before their deadline.
+        at_once: u64,
+        /// Requests whose customers had too many waiting requests.
+        queue_full: u64,
+        /// Requests that reached their deadline in the queue.
+        expired: u64,
+        /// Longest wait that a refused request had to expect, in ms.
+        expected_ms: u64,
+        /// Refused requests by priority.
+        priorities: collections::BTreeMap<u32, u64>,
+    },
     /// A budget epoch was adopted.
     #[display("budget epoch {number} with {members} members, {}", if *grown { "shares grown" } else { "shrunk first" })]
     Epoch {
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 mod arrivals;
 pub mod budget;
+mod capacity;
 mod commits;
 mod configure;
 mod control;
@@ -23,6 +24,7 @@
 mod load;
 pub mod membership;
 pub mod message;
+pub mod overload;
 pub mod plugin;
 pub mod position;
 pub mod promotion;
--- a/components/kernel/src/sessions.rs
+++ b/components/kernel/src/sessions.rs
@@ -26,6 +26,40 @@
     pub floor: Option<position::Position>,
     /// When the session was opened.
     pub opened_at: time::Time,
+    /// Arrival of the latest request; none before the first one.
+    pub arrival: Option<Arrival>,
+}
+
+/// Arrival of a session's latest request, which is its place among waiting requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When the request first came; earlier attempts that were refused for lack of
+    /// capacity count.
+    pub first: time::Time,
+    /// Time until which the next request continues this one, if this one was refused.
+    pub returns_until: Option<time::Time>,
+}
+
+impl Session {
+    /// Records that a request has come, or is tried again.
+    pub fn record_arrival(&mut self, now: time::Time, retry: bool) {
+        let kept = self.arrival.filter(|arrival| {
+            let returns = arrival.returns_until.is_some_and(|until| now <= until);
+            retry || returns
+        });
+        self.arrival = Some(Arrival {
+            first: kept.map_or(now, |arrival| arrival.first),
+            returns_until: None,
+        });
+    }
+
+    /// Records that the latest request was refused for lack of capacity and may return
+    /// until the given time without losing its place.
+    pub fn record_refusal(&mut self, until: time::Time) {
+        if let Some(arrival) = &mut self.arrival {
+            arrival.returns_until = Some(until);
+        }
+    }
 }
 
 /// A request that holds a connection.
@@ -39,6 +73,8 @@
     pub instance: Name,
     /// Confirmed term at the time of the grant.
     pub term: position::Term,
+    /// When the request was granted.
+    pub granted_at: time::Time,
 }
 
 /// A commit that has not been acknowledged to the caller.
--- a/components/kernel/tests/order.rs
+++ b/components/kernel/tests/order.rs
@@ -35,7 +35,9 @@
 }
 
 fn pop(queue: &mut fair::Fair) -> Option<u64> {
-    queue.pop(&mut |_| true).map(|item| item.request.id.0)
+    queue
+        .pop(time::Time::default(), &mut |_| true)
+        .map(|item| item.request.id.0)
 }
 
 /// Deficit round robin in order of arrival, without priorities.
@@ -123,7 +125,8 @@
                 }
                 Step::Pop(divisor) | Step::Extract(divisor) => {
                     let ready = |id: u64| !id.is_multiple_of(divisor);
-                    let popped = queue.pop(&mut |item| ready(item.request.id.0));
+                    let popped =
+                        queue.pop(time::Time::default(), &mut |item| ready(item.request.id.0));
                     if popped.map(|item| item.request.id.0) != expected.pop(&ready) {
                         return false;
                     }
@@ -153,7 +156,7 @@
                 }
                 Step::Pop(divisor) => {
                     let mut tested = 0;
-                    let popped = queue.pop(&mut |item| {
+                    let popped = queue.pop(time::Time::default(), &mut |item| {
                         tested = item.request.id.0;
                         !tested.is_multiple_of(divisor)
                     });
