--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -38,6 +38,9 @@
         self.apply_evacuations(&fleet);
         self.regions.configure(&fleet, &self.setup.domain_regions);
         self.ranks_routes = fleet.ranks_routes();
+        let instances = &self.instance_groups;
+        self.hold_times
+            .retain(&|instance| instances.contains_key(instance));
         for (name, customer) in &fleet.customers {
             let limit = customer_limit(customer, &self.setup.limits);
             let resource = budget::Resource::Rate(name.clone());
