Limit the requests to cold instances

Callers saw: an instance that had just started got the whole load; `warmupS`, `warmupPerS` and `warmupLeftMs` were not read.

Cause: no decision knew cold instances.

Change: `kernel::warmup` limits what a cold instance gets to `warmup.rate` requests in any second from all VMs. The limit is a new kind of budget, which two VMs of the epoch hold in fleets of any size; it starts without tokens, and a token that comes late is void. Reads go to other instances, writes wait for tokens of a cold leader or are refused at once with the time of their token. In the line dialect each further statement of a transaction, and each repetition to a busy instance, takes a token too. A VM that lost its connection to an instance takes it for cold until the store shows that it is the same process. Without a limit in the configuration there is no share, no message and no log line.

The schema of messages has a new member.

Ruled out: equal shares (less than a token each), one holder, tokens taken only at sending.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -359,9 +359,17 @@
     name: Span<String>,
     #[serde(default)]
     durability: fleet::Durability,
+    warmup: Option<RawWarmup>,
     instances: Vec<RawInstance>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawWarmup {
+    period: Span<String>,
+    rate: Span<u64>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawInstance {
@@ -458,6 +466,18 @@
     })
 }
 
+/// Fewest requests per second of which each holder can have one at a time.
+const MIN_WARMUP_RATE: u64 = 5;
+
+fn parse_warmup(raw: &RawWarmup) -> LocatedResult<fleet::Warmup> {
+    let rate = check_range(&raw.rate, "warmup.rate", MIN_WARMUP_RATE, COUNT_LIMIT)?;
+    let period = parse_duration(&raw.period)?;
+    Ok(fleet::Warmup {
+        period_ms: u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
+        rate: u32::try_from(rate).unwrap_or(u32::MAX),
+    })
+}
+
 fn parse_group(raw: &RawGroup) -> LocatedResult<note::Entry> {
     let name = parse_name(&raw.name)?;
     if raw.instances.is_empty() {
@@ -467,7 +487,7 @@
     let instances: Result<Vec<_>, _> = raw.instances.iter().map(parse_instance).collect();
     let value = fleet::Group {
         durability: raw.durability,
-        warmup: None,
+        warmup: raw.warmup.as_ref().map(parse_warmup).transpose()?,
         instances: instances?,
     };
     Ok(note::Entry::Group(name, value))
--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -162,3 +162,25 @@
     let (_, problem) = note_failure("customers: [tienda]", "customers: [tienda], homes: ['a b']");
     assert_eq!(problem, Problem::BadName("a b".into()));
 }
+
+#[test]
+fn warm_up_is_read_and_checked() {
+    let with_warmup = |warmup: &str| {
+        NOTE.replace(
+            "- name: orders\n",
+            &format!("- name: orders\n      warmup: {{{warmup}}}\n"),
+        )
+    };
+    let note = read_note(&with_warmup("period: 30s, rate: 40"), &origin()).expect("a valid note");
+    let fleet = note
+        .apply(&Fleet::default())
+        .expect("a note that can be applied");
+    let expected = config::Warmup {
+        period_ms: 30_000,
+        rate: 40,
+    };
+    assert_eq!(fleet.groups["orders"].warmup, Some(expected));
+    let failure = read_note(&with_warmup("period: 30s, rate: 4"), &origin());
+    let problem = failure.expect_err("a rate that gives no tokens").problem;
+    assert_eq!(problem, Problem::OutOfRange("warmup.rate", 5, 100_000_000));
+}
--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -20,6 +20,8 @@
     pub(super) request: event::RequestId,
     pub(super) instance: Name,
     pub(super) is_primary: bool,
+    /// Whether the kernel permits each statement, because the instance is cold.
+    pub(super) is_paced: bool,
     /// Condition under which the next statement may be sent. Inside a transaction, which
     /// stays at its instance, there is none.
     pub(super) precondition: event::Precondition,
@@ -63,6 +65,7 @@
             request: grant.request,
             instance: grant.instance,
             is_primary: grant.primary,
+            is_paced: grant.is_paced,
             precondition: event::Precondition::default(),
             access: Some(access),
             valid_until: grant.deadline,
@@ -138,7 +141,31 @@
             .inspect(|kernel| kernel.precondition(self.id, instance, access, now));
         let is_met = renewed.is_some();
         connection.precondition = renewed.unwrap_or_default();
-        is_met
+        is_met && self.may_send(connection)
+    }
+
+    /// Whether the next statement may be sent as far as the warm-up of its instance is
+    /// concerned.
+    fn may_send(&self, connection: &Connection) -> bool {
+        !connection.is_paced || self.runtime.may_send(connection.request)
+    }
+
+    /// Waits until the next statement of a transaction may be sent; false if that is not
+    /// before the deadline.
+    pub(super) fn await_permission(
+        &self,
+        connection: &Connection,
+        deadline: std_time::Instant,
+    ) -> bool {
+        while !self.may_send(connection) {
+            if std_time::Instant::now() + RETRY_PAUSE >= deadline {
+                log::info!(target: "request", instance = &**connection.instance;
+                    "no permission to send: the instance is cold");
+                return false;
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+        true
     }
 
     /// Time until which a statement is retried on the same instance while that
@@ -178,7 +205,10 @@
                 return Ok(reply);
             }
             thread::sleep(pause);
-            if !self.renew_precondition(connection) {
+            let is_in_transaction = connection.access.is_none();
+            if !self.renew_precondition(connection)
+                || (is_in_transaction && !self.await_permission(connection, deadline))
+            {
                 return Ok(reply);
             }
             pause = (pause * 2).min(RETRY_PAUSE_LIMIT);
@@ -283,6 +313,11 @@
         mut connection: Connection,
         call: Option<&dialect::Call>,
     ) {
+        if !self.may_send(&connection) {
+            // The instance rolls back when its connection closes.
+            let outcome = event::RequestOutcome::TooManyConnections;
+            return self.discard(links, connection, outcome);
+        }
         let (limit, _) = self.statement_limits();
         let rolled_back = match call {
             Some(call) => {
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -95,6 +95,11 @@
         connection.precondition = event::Precondition::default();
         connection.valid_until = self.key_valid_until();
         let deadline = std_time::Instant::now() + self.runtime.settings.limits.wait_timeout;
+        if !self.await_permission(&connection, deadline) {
+            let outcome = event::RequestOutcome::TooManyConnections;
+            self.discard(links, connection, outcome);
+            return self.fail(Some(planned.call), &Refusal::new(Cause::TransactionLost, 0));
+        }
         let adapted = connection.link.set_values(&self.values, limit);
         match adapted
             .and_then(|()| self.run_retrying_busy(&mut connection, &planned.run, limit, deadline))
@@ -229,6 +234,12 @@
         connection.precondition = event::Precondition::default();
         connection.valid_until = self.key_valid_until();
         let deadline = start + self.runtime.settings.limits.wait_timeout;
+        if !self.await_permission(&connection, deadline) {
+            let outcome = event::RequestOutcome::TooManyConnections;
+            self.discard(links, connection, outcome);
+            self.record_outcome(telemetry::Outcome::Refused, start.elapsed());
+            return self.refuse(Some(call), &Refusal::new(Cause::TransactionLost, 0));
+        }
         let run = dialect::Execution::Plain(call);
         match self.run_retrying_busy(&mut connection, &run, limit, deadline) {
             Ok(reply) => {
--- a/components/daemon/src/runtime.rs
+++ b/components/daemon/src/runtime.rs
@@ -121,6 +121,11 @@
         query(&locks::lock(&self.kernel))
     }
 
+    /// Whether the next statement of a request to a cold instance may be sent now.
+    pub fn may_send(&self, request: event::RequestId) -> bool {
+        locks::lock(&self.kernel).may_send(request, self.clock.now())
+    }
+
     fn perform(&self, action: event::Action) {
         match action {
             event::Action::AcceptSession(session, session_route) => {
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -234,6 +234,18 @@
         };
         let customer = session.customer.clone();
         let group = session.group.clone();
+        let needs_latest = session.reads == config::ReadConsistency::Latest;
+        let needs_leader = request.access == event::Access::Write || needs_latest;
+        let route = self.fleet().routes.get(&session.route);
+        let target = std_time::Duration::from_millis(route.map_or(0, |route| route.target_ms));
+        let cold_wait = if needs_leader {
+            match self.check_cold_leader(&group, target) {
+                Ok(wait) => wait,
+                Err(refusal) => return self.refuse(&request, refusal),
+            }
+        } else {
+            None
+        };
         let weight = customer
             .as_ref()
             .and_then(|name| self.fleet().customers.get(name))
@@ -241,16 +253,16 @@
         let item = admission::WaitingRequest {
             request,
             queued_at: self.now,
-            deadline: self.now + self.setup.limits.wait_timeout,
+            deadline: self.now + cold_wait.unwrap_or(self.setup.limits.wait_timeout),
         };
         let Some(state) = self.groups.get_mut(&group) else {
             let refusal = Refusal::new(Cause::Unavailable, daemon::UNAVAILABLE_RETRY_MS);
             return self.refuse(&request, refusal);
         };
-        let needs_latest = session.reads == config::ReadConsistency::Latest;
-        let queue = match request.access {
-            event::Access::Read if !needs_latest => &mut state.read_queue,
-            _ => &mut state.write_queue,
+        let queue = if needs_leader {
+            &mut state.write_queue
+        } else {
+            &mut state.read_queue
         };
         if queue.push(customer, weight, item).is_err() {
             let refusal = Refusal::new(Cause::NoCapacity, daemon::CAPACITY_RETRY_MS);
--- a/components/kernel/src/budget/holders.rs
+++ b/components/kernel/src/budget/holders.rs
@@ -7,6 +7,10 @@
 //! waiting requests, from the holders in its region first, and from the next holder
 //! when one has no token.
 //!
+//! The tokens of a cold instance have holders in fleets of any size, since its rate is
+//! small. Holders get no initial tokens of it, and a token is void if it comes late: the
+//! limit on a cold instance leaves no room for tokens that were delayed.
+//!
 //! A holder debits tokens before it sends them. A lost or duplicated message can
 //! therefore lose tokens but never create any, whichever epoch the receiver knows.
 
@@ -23,6 +27,9 @@
 /// Holders of a rate. With four holders in two regions, each region has two on
 /// average, and the loss of one holder leaves most of the rate.
 const HOLDERS_PER_RATE: usize = 4;
+/// Holders of the tokens of a cold instance. More of them would hold less than one token
+/// each.
+const HOLDERS_PER_WARMUP: usize = 2;
 /// Time that a holder, which may be in another region, has to answer before the VM
 /// requests tokens from the next holder.
 const HOLDER_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(60);
@@ -37,15 +44,16 @@
 /// Selects the VMs that hold a resource for the whole fleet; empty if all members
 /// share the resource.
 pub(super) fn select(resource: &Resource, epoch: &event::Epoch, polls_reserved: bool) -> Vec<Name> {
-    let Resource::Rate(customer) = resource else {
-        return Vec::new();
+    let (name, count) = match resource {
+        Resource::Rate(customer) if are_used(epoch.members.len(), polls_reserved) => {
+            (customer, HOLDERS_PER_RATE)
+        }
+        Resource::Warmup(instance) => (instance, HOLDERS_PER_WARMUP),
+        Resource::Rate(_) | Resource::Connections(_) => return Vec::new(),
     };
-    if !are_used(epoch.members.len(), polls_reserved) {
-        return Vec::new();
-    }
     let members: Vec<_> = epoch.members.iter().map(|m| m.vm.clone()).collect();
-    let mut ranked = rendezvous::rank(customer, &members);
-    ranked.truncate(HOLDERS_PER_RATE);
+    let mut ranked = rendezvous::rank(name, &members);
+    ranked.truncate(count);
     ranked
 }
 
@@ -102,13 +110,15 @@
     ) {
         let own = &self.own.vm;
         for (resource, share) in &mut self.shares {
-            let Resource::Rate(customer) = resource else {
-                continue;
+            let waiting = match resource {
+                Resource::Rate(customer) => waiting(customer),
+                Resource::Warmup(_) => 0,
+                Resource::Connections(_) => continue,
             };
             if share.holders.is_empty() || !share.is_due(now) {
                 continue;
             }
-            let missing = share.missing_tokens(waiting(customer), now);
+            let missing = share.missing_tokens(waiting, now);
             if missing == 0 {
                 continue;
             }
@@ -123,6 +133,7 @@
             let request = self
                 .open_requests
                 .open(resource, self.epoch.number, 0, missing);
+            share.last_request = request.nonce;
             out.push(((*holder).clone(), request));
             share.requested_at = now;
             share.lacks_token = false;
@@ -158,6 +169,18 @@
         let Some(share) = self.shares.get_mut(&transfer.scarce) else {
             return false;
         };
+        if let Resource::Warmup(_) = transfer.scarce {
+            // The answer to an earlier request may hold tokens of any age.
+            if share.last_request != transfer.nonce {
+                return true;
+            }
+            share.has_answer = true;
+            if transfer.tokens > 0 {
+                share.fetched = (transfer.tokens, share.requested_at);
+                share.failed_attempts = 0;
+            }
+            return true;
+        }
         share.has_answer = true;
         if transfer.tokens > 0 {
             share.fetched = (share.fetched_balance(now) + transfer.tokens, now);
@@ -165,4 +188,40 @@
         }
         true
     }
+
+    /// Whether this VM has a token of the resource.
+    pub fn has_held_token(&self, resource: &Resource, now: time::Time) -> bool {
+        let share = self.shares.get(resource);
+        share.is_some_and(|share| share.available(now) >= MICRO_TOKENS_PER_REQUEST)
+    }
+
+    /// Takes a token of the resource; returns false if there is none.
+    pub fn take_held_token(&mut self, resource: &Resource, now: time::Time) -> bool {
+        let Some(share) = self.shares.get_mut(resource) else {
+            return false;
+        };
+        share.refill(now);
+        if share.fetched_balance(now) >= MICRO_TOKENS_PER_REQUEST {
+            share.fetched.0 -= MICRO_TOKENS_PER_REQUEST;
+            return true;
+        }
+        if share.micro_tokens < MICRO_TOKENS_PER_REQUEST {
+            return false;
+        }
+        share.micro_tokens -= MICRO_TOKENS_PER_REQUEST;
+        true
+    }
+
+    /// Requests a token of the resource from its holders in the next round.
+    pub fn request_held_token(&mut self, resource: &Resource) {
+        if let Some(share) = self.shares.get_mut(resource) {
+            share.lacks_token = true;
+        }
+    }
+
+    /// Time in which the whole fleet gets this number of tokens of the resource; none if
+    /// it gets none.
+    pub fn held_token_wait(&self, resource: &Resource, tokens: u64) -> Option<std_time::Duration> {
+        self.shares.get(resource)?.holder_wait(tokens)
+    }
 }
--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -55,6 +55,8 @@
     Rate(Name),
     /// Connections of an instance.
     Connections(Name),
+    /// Requests to an instance while it is cold.
+    Warmup(Name),
 }
 
 /// Requests units or tokens from a peer.
@@ -251,7 +253,7 @@
         if !self.is_member {
             return;
         }
-        for share in self.shares.values_mut() {
+        for (resource, share) in &mut self.shares {
             if share
                 .pending_epoch
                 .is_none_or(|pending_epoch| pending_epoch > number)
@@ -261,7 +263,8 @@
             share.refill(now);
             share.units = share.equal_units;
             share.pending_epoch = None;
-            if share.is_new && !self.polls_reserved {
+            let has_initial = !matches!(resource, Resource::Warmup(_));
+            if share.is_new && has_initial && !self.polls_reserved {
                 share.micro_tokens = share
                     .micro_tokens
                     .max(share.capacity() / INITIAL_TOKENS_DIVISOR);
@@ -315,25 +318,12 @@
 
     /// Whether this VM has a token of the customer.
     pub fn has_token(&self, customer: &Name, now: time::Time) -> bool {
-        let share = self.shares.get(&Resource::Rate(customer.clone()));
-        share.is_some_and(|share| share.available(now) >= MICRO_TOKENS_PER_REQUEST)
+        self.has_held_token(&Resource::Rate(customer.clone()), now)
     }
 
     /// Takes a token of the customer; returns false if there is none.
     pub fn take_token(&mut self, customer: &Name, now: time::Time) -> bool {
-        let Some(share) = self.shares.get_mut(&Resource::Rate(customer.clone())) else {
-            return false;
-        };
-        share.refill(now);
-        if share.fetched_balance(now) >= MICRO_TOKENS_PER_REQUEST {
-            share.fetched.0 -= MICRO_TOKENS_PER_REQUEST;
-            return true;
-        }
-        if share.micro_tokens < MICRO_TOKENS_PER_REQUEST {
-            return false;
-        }
-        share.micro_tokens -= MICRO_TOKENS_PER_REQUEST;
-        true
+        self.take_held_token(&Resource::Rate(customer.clone()), now)
     }
 
     /// Time until the share yields `position` more tokens.
@@ -381,6 +371,7 @@
         let members = self.epoch.members.len();
         let is_held = |(resource, share): (&Resource, &Share)| match resource {
             Resource::Rate(_) => share.units > 0,
+            Resource::Warmup(_) => true,
             Resource::Connections(_) => {
                 share.units > 0
                     || share.equal_units == 0
@@ -440,6 +431,7 @@
                 members,
                 self.polls_reserved,
             ) || !share.holders.is_empty()
+                || matches!(resource, Resource::Warmup(_))
             {
                 continue;
             }
@@ -566,7 +558,7 @@
     };
     let rank = u64::try_from(rank).unwrap_or(u64::MAX);
     let total = match resource {
-        Resource::Rate(_) => total,
+        Resource::Rate(_) | Resource::Warmup(_) => total,
         // Each member needs a connection for its polls, and one more is reserved for
         // a VM that is not yet a member.
         Resource::Connections(_) if polls_reserved => total.saturating_sub(members + 1),
--- a/components/kernel/src/budget/share.rs
+++ b/components/kernel/src/budget/share.rs
@@ -35,6 +35,8 @@
     pub(super) fetched: (u64, time::Time),
     /// An admitted request has found no token.
     pub(super) lacks_token: bool,
+    /// Nonce of the last request to a holder.
+    pub(super) last_request: u64,
     /// The holder that got the last request has answered.
     pub(super) has_answer: bool,
     /// Epoch that allows this VM a larger share, until that share is active.
@@ -69,6 +71,7 @@
             holders,
             fetched: (0, time::Time::default()),
             lacks_token: false,
+            last_request: 0,
             has_answer: false,
             pending_epoch: None,
             is_new: true,
--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -14,6 +14,9 @@
             *busy = busy.saturating_sub(1);
         }
         self.track_connection(&granted, outcome);
+        if let event::RequestOutcome::Unsent | event::RequestOutcome::ConnectionLost = outcome {
+            self.track_restart(&granted.instance, false);
+        }
         let group = granted.group.clone();
         let store_arbitrates = self.arbiter == group::Arbiter::Store;
         if let Some(state) = self.groups.get_mut(&group).filter(|_| store_arbitrates) {
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -42,9 +42,11 @@
             self.budgets
                 .configure(resource, budget::RATE_UNITS, limit, self.now);
         }
+        self.configure_warmup(&fleet);
         self.budgets.remove_if(&|resource| match resource {
             budget::Resource::Rate(customer) => !fleet.customers.contains_key(customer),
             budget::Resource::Connections(instance) => !self.instance_groups.contains_key(instance),
+            budget::Resource::Warmup(instance) => !self.warmup.has_limit(instance),
         });
         self.resize_pools();
         self.end_forbidden_sessions();
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -443,7 +443,7 @@
         }
         match &transfer.scarce {
             budget::Resource::Rate(_) => self.admit_waiting(),
-            budget::Resource::Connections(instance) => {
+            budget::Resource::Connections(instance) | budget::Resource::Warmup(instance) => {
                 if let Some(group) = self.instance_group(instance) {
                     self.dispatch(&group);
                     self.send_polls(&group);
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     admission, budget, event, group, handover, homes, idle, journal, load, membership, plugin,
-    position, promotion, read_policy, revision, sessions, time, view, view_sync,
+    position, promotion, read_policy, revision, sessions, time, view, view_sync, warmup,
 };
 
 /// Retry hint when no instance is available, in ms.
@@ -86,6 +86,7 @@
     pub(crate) idle_connections: idle::Connections,
     pub(crate) regions: homes::Regions,
     pub(crate) refused_homes: homes::Refused,
+    pub(crate) warmup: warmup::State,
     pub(crate) rate_queues:
         collections::BTreeMap<Name, collections::VecDeque<admission::WaitingRequest>>,
     pub(crate) refusal_counts: collections::BTreeMap<Name, RefusalCount>,
@@ -125,6 +126,7 @@
             members,
             regions: homes::Regions::new(setup.region.clone()),
             refused_homes: homes::Refused::default(),
+            warmup: warmup::State::default(),
             setup,
             now,
             actions: Vec::new(),
@@ -302,6 +304,7 @@
         let Some(name) = self.instance_groups.get(&reply.instance).cloned() else {
             return;
         };
+        self.track_restart(&reply.instance, reply.status.is_some());
         if let Some(state) = self.groups.get_mut(&name) {
             state
                 .group
@@ -373,6 +376,7 @@
         self.admit_waiting();
         self.report_refusals();
         self.report_outside_homes();
+        self.report_warmup();
         self.record_freshness();
         self.record_readiness();
         self.report_load();
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -50,6 +50,9 @@
         {
             return false;
         }
+        if !self.check_warmup_token(&confirmation.primary) {
+            return false;
+        }
         let (sessions, budgets, now) = (&self.sessions, &self.budgets, self.now);
         let mut lacking = collections::BTreeSet::new();
         let places = (&self.regions, &*self.revisions.head().fleet);
@@ -135,6 +138,10 @@
             return false;
         }
         let mut candidates = self.read_candidates(state);
+        self.remove_cold(&mut candidates);
+        let Some(state) = self.groups.get(group) else {
+            return false;
+        };
         if candidates.iter().all(|c| c.free == 0) {
             return false;
         }
@@ -206,6 +213,7 @@
         term: position::Term,
     ) {
         self.take_token(request);
+        let token_until = self.take_warmup_token(instance);
         let busy = self.busy_connections.entry(instance.clone()).or_default();
         *busy += 1;
         let (busy, limits) = (*busy, self.budgets.connection_limits(instance));
@@ -218,6 +226,7 @@
             group: group.clone(),
             instance: instance.clone(),
             term,
+            token_until,
         };
         self.sessions.granted.insert(request.id, granted);
         if let Some(state) = self.groups.get_mut(group) {
@@ -239,6 +248,7 @@
             instance: instance.clone(),
             primary: primary == Some(instance),
             deadline,
+            is_paced: token_until.is_some(),
         }));
     }
 
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -455,6 +455,8 @@
     pub primary: bool,
     /// Time before which the request must start.
     pub deadline: time::Time,
+    /// Whether the instance is cold, so that each statement needs a permission.
+    pub is_paced: bool,
 }
 
 /// Condition under which a granted request is sent to its instance.
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -195,6 +195,21 @@
         /// Home regions of the customer; empty if it has none.
         customer_homes: Vec<Name>,
     },
+    /// An instance is cold, or may be because it may have restarted.
+    #[display(
+        "{instance} is cold for another {left_ms} ms: {granted} requests granted for tokens, \
+         {refused} refused"
+    )]
+    Cold {
+        /// Instance.
+        instance: Name,
+        /// Rest of its period, in ms; 0 if it may have restarted.
+        left_ms: u64,
+        /// Requests that were granted for tokens since the last entry.
+        granted: u64,
+        /// Writes that were refused because their tokens would come too late.
+        refused: u64,
+    },
     /// The daemon is stopping.
     #[display("graceful stop with {sessions} sessions")]
     Stopping {
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod version;
 pub mod view;
 pub mod view_sync;
+pub mod warmup;
 
 pub use daemon::{Daemon, Setup};
 pub use event::{Action, Event};
--- a/components/kernel/src/sessions.rs
+++ b/components/kernel/src/sessions.rs
@@ -39,6 +39,9 @@
     pub instance: Name,
     /// Confirmed term at the time of the grant.
     pub term: position::Term,
+    /// Time until which the first statement may be sent with the token of the grant; none
+    /// if the instance is not cold.
+    pub token_until: Option<time::Time>,
 }
 
 /// A commit that has not been acknowledged to the caller.
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -254,6 +254,7 @@
             }));
         self.configure(journal::RevisionSource::Store);
         self.reset_restarted();
+        self.observe_starts();
     }
 
     fn apply_rows(&mut self) {
@@ -453,6 +454,7 @@
 
     pub(crate) fn handle_observation(&mut self, observation: &event::Observation) {
         let now = self.now;
+        self.track_restart(&observation.instance, true);
         if let Some(state) = self.group_state(&observation.instance) {
             state.group.record_reply(
                 now,
@@ -474,6 +476,7 @@
     }
 
     pub(crate) fn handle_poll_failure(&mut self, instance: &Name, is_alive: bool) {
+        self.track_restart(instance, is_alive);
         if let Some(state) = self.group_state(instance) {
             state.group.record_poll_end(instance, is_alive);
         }
--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -74,6 +74,20 @@
     pub leads: bool,
     /// Start of its process, in Unix milliseconds.
     pub born: u64,
+    /// Time for which the instance is still cold, in ms; none if it states none.
+    #[serde(default)]
+    pub warmup_ms: Option<u64>,
+}
+
+impl Registration {
+    /// Whether the entries differ in more than the time that passes.
+    fn has_changed(&self, other: &Self) -> bool {
+        let timeless = Self {
+            warmup_ms: self.warmup_ms,
+            ..other.clone()
+        };
+        *self != timeless
+    }
 }
 
 /// A change of one entry.
@@ -378,7 +392,8 @@
             }
             Change::Instance(name, Some(entry)) => {
                 self.lapsed.drop_replaced(&name, &entry);
-                self.instances.insert(name, entry.clone()) != Some(entry)
+                let previous = self.instances.insert(name, entry.clone());
+                previous.is_none_or(|previous| previous.has_changed(&entry))
             }
             Change::Instance(name, None) => match self.instances.remove(&name) {
                 Some(entry) => {
@@ -450,6 +465,11 @@
         entry.or_else(|| self.lapsed.get(name))
     }
 
+    /// Registrations of the instances that may be used.
+    pub fn registrations(&self) -> impl Iterator<Item = (&Name, &Registration)> {
+        self.usable_instances()
+    }
+
     /// Instances with the start of their processes, in Unix milliseconds.
     pub fn start_times(&self) -> impl Iterator<Item = (Name, u64)> {
         self.usable_instances()
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -349,6 +349,7 @@
             leaving,
             leads: false,
             born: 1,
+            warmup_ms: None,
         };
         let update = kernel::view::Update {
             part: kernel::view::Part::Instances,
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -3,7 +3,7 @@
 
 use kernel::{event, position, time};
 
-use super::{CONNECT_TIMEOUT, Delivery, KEY, MAX_READ_AGE, Simulation, instance_index, ms};
+use super::{CONNECT_TIMEOUT, Delivery, KEY, MAX_READ_AGE, STEP, Simulation, instance_index, ms};
 
 impl Simulation {
     /// Opens a session on a route.
@@ -113,6 +113,9 @@
     /// Sends the statement over a connection that has been opened, unless its precondition
     /// is not met any more.
     pub(super) fn send_statement(&mut self, vm: usize, id: event::RequestId, grant: &event::Grant) {
+        if self.warmup.is_some() && self.paused.contains(&vm) {
+            return self.schedule(STEP, Delivery::Connected(vm, id, grant.clone()));
+        }
         let (_, is_write) = self.requests[&id];
         let access = if is_write {
             event::Access::Write
@@ -128,6 +131,19 @@
             self.dispatch(vm, event::Event::ConnectionReleased(id, outcome));
             return self.request_connection(vm, id, true);
         };
+        if !self.daemons[vm].may_send(id, now) {
+            self.open_connections[instance_index(&grant.instance)] -= 1;
+            let outcome = event::RequestOutcome::Uncommitted;
+            self.dispatch(vm, event::Event::ConnectionReleased(id, outcome));
+            return self.request_connection(vm, id, true);
+        }
+        let instance = instance_index(&grant.instance);
+        self.arrivals.push((self.now, instance));
+        for _ in 0..self.repeated_statements {
+            if self.daemons[vm].may_send(id, now) {
+                self.arrivals.push((self.now, instance));
+            }
+        }
         if self.statement_time.is_zero() {
             return self.complete(vm, id, grant, precondition.floor);
         }
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -58,6 +58,8 @@
     pub replication_cut: bool,
     /// Start of the instance's process.
     pub started: u64,
+    /// Time for which the instance states that it is cold, in ms.
+    pub warmup_ms: Option<u64>,
 }
 
 /// A granted request.
@@ -139,6 +141,12 @@
     pub grants: Vec<(usize, bool)>,
     /// Grants with their times.
     pub grant_records: Vec<GrantRecord>,
+    /// Statements that reached instances, with their times.
+    pub arrivals: Vec<(time::Time, usize)>,
+    /// Limit on cold instances.
+    pub warmup: Option<config::Warmup>,
+    /// Further statements of each request, which follow the first one as permitted.
+    pub repeated_statements: usize,
     /// Home regions of all routes, and of the customer.
     pub route_homes: Vec<&'static str>,
     pub customer_homes: Vec<&'static str>,
@@ -204,6 +212,8 @@
     pub rate_limit: (u32, u32),
     /// Connections that an instance accepts.
     pub connections: u32,
+    /// Limit on cold instances.
+    pub warmup: Option<config::Warmup>,
     /// Regions of the instances' failure domains, in the order of the instances; the
     /// region of a failure domain without an entry is unknown.
     pub instance_regions: Vec<&'static str>,
@@ -220,6 +230,7 @@
             rate_limit: (1000, 1000),
             connections: 16,
             instance_regions: Vec::new(),
+            warmup: None,
             first_lease_ms: None,
         }
     }
@@ -287,7 +298,7 @@
     let mut fleet = Fleet::default();
     let group = Group {
         durability: Durability::Primary,
-        warmup: None,
+        warmup: sim.warmup,
         instances: Vec::new(),
     };
     fleet.groups.insert(name(sim.aged_group), group.clone());
@@ -357,6 +368,7 @@
             replication_paused: false,
             replication_cut: false,
             started: 1,
+            warmup_ms: Some(0),
         };
         let mut sim = Self {
             now: start,
@@ -383,6 +395,9 @@
             refusals: Vec::new(),
             grants: Vec::new(),
             grant_records: Vec::new(),
+            arrivals: Vec::new(),
+            warmup: options.warmup,
+            repeated_statements: 0,
             route_homes: Vec::new(),
             customer_homes: Vec::new(),
             drop_confirmations: false,
@@ -469,6 +484,7 @@
                 leaving: fake.is_leaving,
                 leads: fake.role == position::Role::Primary,
                 born: fake.started,
+                warmup_ms: fake.warmup_ms,
             };
             let entry = Some(entry).filter(|_| !self.lapsed_entries.contains(&i));
             view::Change::Instance(name(&format!("db-{i}")), entry)
--- a/components/peer/schema/peer.capnp
+++ b/components/peer/schema/peer.capnp
@@ -113,6 +113,8 @@
   union {
     rate @0 :Text;
     connections @1 :Text;
+    # Instance that is cold.
+    warmup @2 :Text;
   }
 }
 
--- a/components/peer/src/codec.rs
+++ b/components/peer/src/codec.rs
@@ -227,6 +227,7 @@
     match resource {
         budget::Resource::Rate(name) => to.set_rate(&***name),
         budget::Resource::Connections(name) => to.set_connections(&***name),
+        budget::Resource::Warmup(name) => to.set_warmup(&***name),
     }
 }
 
@@ -393,5 +394,6 @@
     Ok(match from.which()? {
         Which::Rate(text) => budget::Resource::Rate(read_name(text?)?),
         Which::Connections(text) => budget::Resource::Connections(read_name(text?)?),
+        Which::Warmup(text) => budget::Resource::Warmup(read_name(text?)?),
     })
 }
--- a/components/peer/src/peer_capnp.rs
+++ b/components/peer/src/peer_capnp.rs
@@ -4355,7 +4355,7 @@
 }
 
 pub mod scarce {
-    pub use self::Which::{Rate,Connections};
+    pub use self::Which::{Rate,Connections,Warmup};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -4428,6 +4428,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_warmup(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 2 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -4440,6 +4445,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                2 => {
+                    ::core::result::Result::Ok(Warmup(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -4528,6 +4538,21 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_warmup(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_warmup(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 2);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_warmup(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 2 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -4540,6 +4565,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                2 => {
+                    ::core::result::Result::Ok(Warmup(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -4626,12 +4656,13 @@
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
         pub(crate) const TYPE_ID: u64 = 0xffef_27f4_fd77_35d9;
     }
-    pub enum Which<A0,A1> {
+    pub enum Which<A0,A1,A2> {
         Rate(A0),
         Connections(A1),
+        Warmup(A2),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>>;
 }
 
 pub mod ask {
