Test the period after an evacuation, and mend a lint in the tests of homes

`warmup::State::start` had no test: the period after an evacuation is counted from its call, is not ended by a registration that states that the instance is warm, and does not exist without a limit. `cold_until` is public for it.

--- a/components/kernel/src/warmup.rs
+++ b/components/kernel/src/warmup.rs
@@ -178,7 +178,7 @@
     }
 
     /// Time until which the instance is known to be cold.
-    fn cold_until(&self, instance: &Name) -> time::Time {
+    pub fn cold_until(&self, instance: &Name) -> time::Time {
         let process = self.processes.get(instance);
         process.map_or_else(time::Time::default, |process| {
             process.started_until.max(process.returned_until)
--- a/components/kernel/tests/homes.rs
+++ b/components/kernel/tests/homes.rs
@@ -168,10 +168,10 @@
         sim.refusals
     );
     sim.grant_records.clear();
-    for vm in 0..6 {
+    for (vm, region) in VM_REGIONS.iter().enumerate() {
         send(&mut sim, vm, "latest", true, 3);
         let allowed: Vec<_> = instances_of(&sim, vm);
-        let own = VM_REGIONS[vm] == INSTANCE_REGIONS[leader];
+        let own = *region == INSTANCE_REGIONS[leader];
         assert_eq!(
             allowed,
             if own { vec![leader] } else { Vec::new() },
--- a/components/kernel/tests/warmup.rs
+++ b/components/kernel/tests/warmup.rs
@@ -112,6 +112,50 @@
     }
 }
 
+#[test]
+fn the_end_of_an_evacuation_starts_a_period_that_the_registration_does_not_end() {
+    let limit = config::Warmup {
+        period_ms: PERIOD_MS,
+        rate: RATE,
+    };
+    let instance = config::Instance {
+        name: store_arbiter::name("db-0"),
+        address: ([127, 0, 0, 1], 5000).into(),
+        domain: store_arbiter::name("domain-0"),
+        connections: 16,
+        leaving: false,
+    };
+    let entry = kernel::view::Registration {
+        group: store_arbiter::name("orders"),
+        address: instance.address,
+        domain: instance.domain.clone(),
+        leaving: false,
+        leads: false,
+        born: 1,
+        warmup_ms: Some(0),
+    };
+    let mut fleet = config::Fleet::default();
+    let group = config::Group {
+        durability: config::Durability::Primary,
+        warmup: Some(limit),
+        instances: vec![instance.clone()],
+    };
+    fleet.groups.insert(store_arbiter::name("orders"), group);
+    let at = kernel::time::Time::from_ms;
+    let mut state = kernel::warmup::State::default();
+    state.configure(&fleet);
+    state.observe([(&instance.name, &entry)].into_iter(), at(1000));
+    assert!(state.cold_until(&instance.name) <= at(1000));
+    state.start(&instance.name, at(2000));
+    state.observe([(&instance.name, &entry)].into_iter(), at(3000));
+    assert_eq!(state.cold_until(&instance.name), at(2000 + PERIOD_MS));
+    // Without a limit there is no period.
+    let mut state = kernel::warmup::State::default();
+    state.configure(&config::Fleet::default());
+    state.start(&instance.name, at(2000));
+    assert_eq!(state.cold_until(&instance.name), at(0));
+}
+
 #[test]
 fn instances_without_a_limit_have_no_share_and_no_delay() {
     let mut sim = Simulation::new(&Options::default());
