--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -260,13 +260,23 @@
         };
         let customer = session.customer.clone();
         let group = session.group.clone();
-        let weight = self.weight(&customer);
-        let item = self.waiting_request(request, self.setup.limits.wait_timeout);
         let needs_latest = session.reads == config::ReadConsistency::Latest;
         let access = match request.access {
             event::Access::Read if !needs_latest => event::Access::Read,
             _ => event::Access::Write,
         };
+        let route = self.fleet().routes.get(&session.route);
+        let target = std_time::Duration::from_millis(route.map_or(0, |route| route.target_ms));
+        let cold_wait = match access {
+            event::Access::Read => None,
+            event::Access::Write => match self.check_cold_leader(&group, target) {
+                Ok(wait) => wait,
+                Err(refusal) => return self.refuse(&request, refusal),
+            },
+        };
+        let weight = self.weight(&customer);
+        let max_wait = cold_wait.unwrap_or(self.setup.limits.wait_timeout);
+        let item = self.waiting_request(request, max_wait);
         let expected = self.expected_wait(&group, access, &customer, &item);
         if let Some(expected) = expected.filter(|expected| self.must_miss(*expected, &item)) {
             return self.refuse_capacity(&item, overload::Reason::Certain, Some(expected));
--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -20,6 +20,9 @@
         ) {
             self.record_hold(&granted.instance, granted.granted_at);
         }
+        if let event::RequestOutcome::Unsent | event::RequestOutcome::ConnectionLost = outcome {
+            self.track_restart(&granted.instance, false);
+        }
         let group = granted.group.clone();
         let store_arbitrates = self.arbiter == group::Arbiter::Store;
         if let Some(state) = self.groups.get_mut(&group).filter(|_| store_arbitrates) {
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -10,6 +10,7 @@
 use crate::{
     admission, budget, evacuation, event, group, handover, homes, idle, journal, load, membership,
     overload, plugin, position, promotion, read_policy, revision, sessions, time, view, view_sync,
+    warmup,
 };
 
 /// Retry hint when no instance is available, in ms.
@@ -88,6 +89,7 @@
     pub(crate) regions: homes::Regions,
     pub(crate) refused_homes: homes::Refused,
     pub(crate) rate_queues: collections::BTreeMap<Name, admission::backlog::Backlog>,
+    pub(crate) warmup: warmup::State,
     pub(crate) refusal_counts: collections::BTreeMap<Name, RefusalCount>,
     pub(crate) hold_times: overload::HoldTimes,
     pub(crate) load: load::Load,
@@ -129,6 +131,7 @@
             members,
             regions: homes::Regions::new(setup.region.clone()),
             refused_homes: homes::Refused::default(),
+            warmup: warmup::State::default(),
             setup,
             now,
             actions: Vec::new(),
@@ -308,6 +311,7 @@
         let Some(name) = self.instance_groups.get(&reply.instance).cloned() else {
             return;
         };
+        self.track_restart(&reply.instance, reply.status.is_some());
         if let Some(state) = self.groups.get_mut(&name) {
             state
                 .group
@@ -381,6 +385,7 @@
         self.admit_waiting();
         self.report_refusals();
         self.report_outside_homes();
+        self.report_warmup();
         self.record_freshness();
         self.record_readiness();
         self.report_load();
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -52,6 +52,9 @@
         {
             return false;
         }
+        if !self.check_warmup_token(&confirmation.primary) {
+            return false;
+        }
         let (sessions, budgets, now) = (&self.sessions, &self.budgets, self.now);
         let mut lacking = collections::BTreeSet::new();
         let places = (&self.regions, &*self.revisions.head().fleet);
@@ -138,6 +141,10 @@
             return false;
         }
         let mut candidates = self.read_candidates(state);
+        self.remove_cold(&mut candidates);
+        let Some(state) = self.groups.get(group) else {
+            return false;
+        };
         if candidates.iter().all(|c| c.free == 0) {
             return false;
         }
@@ -209,6 +216,7 @@
         term: position::Term,
     ) {
         self.take_token(request);
+        let token_until = self.take_warmup_token(instance);
         let busy = self.busy_connections.entry(instance.clone()).or_default();
         *busy += 1;
         let (busy, limits) = (*busy, self.budgets.connection_limits(instance));
@@ -222,6 +230,7 @@
             instance: instance.clone(),
             term,
             granted_at: self.now,
+            token_until,
         };
         self.sessions.granted.insert(request.id, granted);
         if let Some(state) = self.groups.get_mut(group) {
@@ -243,6 +252,7 @@
             instance: instance.clone(),
             primary: primary == Some(instance),
             deadline,
+            is_paced: token_until.is_some(),
         }));
     }
 
--- a/components/kernel/src/sessions.rs
+++ b/components/kernel/src/sessions.rs
@@ -75,6 +75,9 @@
     pub term: position::Term,
     /// When the request was granted.
     pub granted_at: time::Time,
+    /// Time until which the first statement may be sent with the token of the grant; none
+    /// if the instance is not cold.
+    pub token_until: Option<time::Time>,
 }
 
 /// A commit that has not been acknowledged to the caller.
