Send reads elsewhere when an instance has no capacity for them

Callers saw: reads that failed after having tried one busy instance every 60 to 100 ms until their deadline.

Cause: a read that an instance turned away was sent again over the same connection for 60 ms, and went back to the queue as a new request; nothing recorded that the instance was busy, so that the next grant chose it again for its idle connection.

Change, where routes differ in priority: the read goes back to the queue at once and keeps its place; reads avoid the instance for 40 to 160 ms and go to another one or wait. Writes are as before.

Ruled out: the backoff of refused connections, which would hold back writes at a busy leader.

--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -142,13 +142,17 @@
     }
 
     /// Time until which a statement is retried on the same instance while that
-    /// instance is busy.
+    /// instance is busy. Where routes differ in priority, the kernel decides whether a read
+    /// goes to another instance or waits.
     pub(super) fn busy_deadline(
+        &self,
         connection: &Connection,
         deadline: std_time::Instant,
     ) -> std_time::Instant {
         if connection.is_primary {
             deadline
+        } else if self.runtime.fleet().ranks_routes() {
+            std_time::Instant::now()
         } else {
             deadline.min(std_time::Instant::now() + REPLICA_BUSY_LIMIT)
         }
--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -320,7 +320,7 @@
             }
             retry = true;
             let sent = self.runtime.clock.now();
-            let busy_deadline = Self::busy_deadline(&connection, deadline);
+            let busy_deadline = self.busy_deadline(&connection, deadline);
             match self.run_retrying_busy(&mut connection, &planned.run, limit, busy_deadline) {
                 Ok(reply) => {
                     self.report_position(&connection, sent, &reply);
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -165,7 +165,7 @@
             }
             let sent = self.runtime.clock.now();
             let begin = dialect::Execution::Plain(&call);
-            let busy_deadline = Self::busy_deadline(&connection, deadline);
+            let busy_deadline = self.busy_deadline(&connection, deadline);
             match self.run_retrying_busy(&mut connection, &begin, limit, busy_deadline) {
                 Ok(reply) if reply.state == dialect::TransactionState::Open => {
                     self.report_position(&connection, sent, &reply);
--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -36,6 +36,9 @@
                 state.group.record_alive(&granted.instance);
             }
             match outcome {
+                event::RequestOutcome::Busy if self.ranks_routes => {
+                    state.group.record_shedding(&granted.instance, self.now);
+                }
                 event::RequestOutcome::BehindFloor(floor) => {
                     state
                         .group
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -106,7 +106,9 @@
             } else {
                 instance.leaving
             };
-            if is_closed || state.group.is_backing_off(name, self.now) {
+            let is_paused = state.group.is_backing_off(name, self.now)
+                || state.group.is_shedding(name, self.now);
+            if is_closed || is_paused {
                 continue;
             }
             let (free, busy) = self.free_and_busy(name);
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -58,6 +58,8 @@
     pub leaving_since: Option<time::Time>,
     /// Set while connections to the instance fail.
     backoff: Option<Backoff>,
+    /// Set while the instance turns reads away for lack of capacity.
+    shedding: Option<Shedding>,
     /// Floor that the instance had not reached, with the time of that answer.
     missed_floor: Option<(time::Time, position::Position)>,
     /// Whether the current silence of the instance has been reported.
@@ -66,6 +68,15 @@
     pending_polls: usize,
 }
 
+/// Pause of reads at an instance that has no capacity for them.
+#[derive(Clone, Copy, Debug)]
+struct Shedding {
+    /// Time of the next read.
+    until: time::Time,
+    /// Pause before that read.
+    delay: std_time::Duration,
+}
+
 /// Backoff of new connections to an instance.
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Arbiter, Backoff, Confirmation, FAILING_POLL_PERIOD, Group, HISTORY_LEN, InstanceState,
-    REGISTRATION_TIME, Sampling, TERM_POLL_PERIOD,
+    REGISTRATION_TIME, Sampling, Shedding, TERM_POLL_PERIOD,
 };
 use crate::{leader, position, sample, time};
 
@@ -16,6 +16,8 @@
 const BACKOFF_DELAY: std_time::Duration = std_time::Duration::from_millis(40);
 /// Maximum delay after a failed connection.
 const MAX_BACKOFF_DELAY: std_time::Duration = std_time::Duration::from_millis(640);
+/// Longest pause of reads at an instance without capacity.
+const MAX_SHEDDING_DELAY: std_time::Duration = std_time::Duration::from_millis(160);
 /// Time without an answer after which a statement counts as delayed.
 pub const STATEMENT_DELAY: std_time::Duration = std_time::Duration::from_millis(250);
 /// Time after which the measured round-trip time of an unused instance is
@@ -98,6 +100,32 @@
         backoff.is_some_and(|b| b.is_unreachable || b.is_probing || now < b.until)
     }
 
+    /// Records that the instance turned a statement away for lack of capacity. Until the end
+    /// of a pause, which grows while the instance stays busy, reads go to other instances or
+    /// wait.
+    pub fn record_shedding(&mut self, instance: &Name, now: time::Time) {
+        let Some(state) = self.instances.get_mut(instance) else {
+            return;
+        };
+        let delay = match state.shedding {
+            // Several statements were turned away at the same time.
+            Some(shedding) if now < shedding.until => return,
+            Some(shedding) if now < shedding.until + MAX_SHEDDING_DELAY => {
+                (shedding.delay * 2).min(MAX_SHEDDING_DELAY)
+            }
+            _ => BACKOFF_DELAY,
+        };
+        let until = now + delay;
+        state.shedding = Some(Shedding { until, delay });
+    }
+
+    /// Whether reads should not be sent to the instance now, because it has no capacity.
+    pub fn is_shedding(&self, instance: &Name, now: time::Time) -> bool {
+        let state = self.instances.get(instance);
+        let shedding = state.and_then(|state| state.shedding);
+        shedding.is_some_and(|shedding| now < shedding.until)
+    }
+
     /// Whether the instance did not answer the latest connection attempts.
     pub fn is_unreachable(&self, instance: &Name) -> bool {
         let state = self.instances.get(instance);
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -148,6 +148,12 @@
         let instance = instance_index(&grant.instance);
         let (_, is_write) = self.requests[&id];
         self.open_connections[instance] -= 1;
+        if self.instances[instance].is_busy {
+            self.busy_answers += 1;
+            let busy = event::RequestOutcome::Busy;
+            self.dispatch(vm, event::Event::ConnectionReleased(id, busy));
+            return self.request_connection(vm, id, true);
+        }
         let status = self.status(instance);
         if is_write && status.role == position::Role::Replica {
             self.dispatch(
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -47,6 +47,8 @@
 pub struct FakeInstance {
     pub is_alive: bool,
     pub is_full: bool,
+    /// Whether statements are turned away for lack of capacity.
+    pub is_busy: bool,
     /// Whether connection attempts get no answer, neither accepted nor refused.
     pub is_unresponsive: bool,
     pub is_leaving: bool,
@@ -126,6 +128,14 @@
     pub held_writers: collections::BTreeSet<usize>,
     pub unknown_outcomes: usize,
     pub refusals: Vec<Cause>,
+    /// Times to return that refused requests were given, in ms.
+    pub retry_hints: Vec<u32>,
+    /// Number of statements that busy instances have turned away.
+    pub busy_answers: usize,
+    /// Granted requests in the order of their grants.
+    pub granted: Vec<event::RequestId>,
+    /// Whether the route `latest` is more urgent than the others.
+    ranks_routes: bool,
     /// Granted requests: instance, and whether the grant names it as the primary.
     pub grants: Vec<(usize, bool)>,
     /// Whether confirmations of transferred shares are lost.
@@ -190,6 +200,8 @@
     pub rate_limit: (u32, u32),
     /// Connections that an instance accepts.
     pub connections: u32,
+    /// Whether the route `latest` is more urgent than the others.
+    pub ranks_routes: bool,
     /// Lease of VM 0, where it differs from that of the other VMs.
     pub first_lease_ms: Option<u64>,
 }
@@ -202,6 +214,7 @@
             lease_ms: 1000,
             rate_limit: (1000, 1000),
             connections: 16,
+            ranks_routes: false,
             first_lease_ms: None,
         }
     }
@@ -270,6 +283,7 @@
             open: true,
             age_ms: 1500,
             reads,
+            priority: u32::from(sim.ranks_routes && route != "latest"),
             ..Route::new(name(group))
         };
         fleet.routes.insert(name(route), entry);
@@ -278,6 +292,7 @@
         customers: collections::BTreeSet::from([name("tienda")]),
         age_ms: 1500,
         reads: ReadConsistency::OwnAndAge,
+        priority: u32::from(sim.ranks_routes),
         ..Route::new(name("orders"))
     };
     fleet.routes.insert(name("keyed"), keyed);
@@ -313,6 +328,7 @@
         let fake = |i: usize| FakeInstance {
             is_alive: true,
             is_full: false,
+            is_busy: false,
             is_unresponsive: false,
             is_leaving: false,
             role: if i == 0 {
@@ -349,6 +365,10 @@
             held_writers: collections::BTreeSet::new(),
             unknown_outcomes: 0,
             refusals: Vec::new(),
+            retry_hints: Vec::new(),
+            busy_answers: 0,
+            granted: Vec::new(),
+            ranks_routes: options.ranks_routes,
             grants: Vec::new(),
             drop_confirmations: false,
             transfer_requests: 0,
@@ -559,6 +579,7 @@
                 }
             }
             event::Action::Grant(grant) => {
+                self.granted.push(grant.request);
                 self.grants
                     .push((instance_index(&grant.instance), grant.primary));
                 if let Some(sent_at) = self.sent_at.remove(&grant.request) {
@@ -569,7 +590,10 @@
             event::Action::RefuseRequest(_, refusal) if refusal.cause == Cause::OutcomeUnknown => {
                 self.unknown_outcomes += 1;
             }
-            event::Action::RefuseRequest(_, refusal) => self.refusals.push(refusal.cause),
+            event::Action::RefuseRequest(_, refusal) => {
+                self.refusals.push(refusal.cause);
+                self.retry_hints.push(refusal.retry_ms);
+            }
             // As in the daemon, the commit is acknowledged only before its deadline.
             event::Action::AcknowledgeCommit(_, _, until) if self.local_time(vm) < until => {
                 self.acknowledged.push(self.now);
