--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -47,6 +47,8 @@
 pub struct FakeInstance {
     pub is_alive: bool,
     pub is_full: bool,
+    /// Whether statements are turned away for lack of capacity.
+    pub is_busy: bool,
     /// Whether connection attempts get no answer, neither accepted nor refused.
     pub is_unresponsive: bool,
     pub is_leaving: bool,
@@ -139,6 +141,14 @@
     pub held_writers: collections::BTreeSet<usize>,
     pub unknown_outcomes: usize,
     pub refusals: Vec<Cause>,
+    /// Times to return that refused requests were given, in ms.
+    pub retry_hints: Vec<u32>,
+    /// Number of statements that busy instances have turned away.
+    pub busy_answers: usize,
+    /// Granted requests in the order of their grants.
+    pub granted: Vec<event::RequestId>,
+    /// Whether the route `latest` is more urgent than the others.
+    ranks_routes: bool,
     /// Granted requests: instance, and whether the grant names it as the primary.
     pub grants: Vec<(usize, bool)>,
     /// Grants with their times.
@@ -225,6 +235,8 @@
     /// Regions of the instances' failure domains, in the order of the instances; the
     /// region of a failure domain without an entry is unknown.
     pub instance_regions: Vec<&'static str>,
+    /// Whether the route `latest` is more urgent than the others.
+    pub ranks_routes: bool,
     /// Lease of VM 0, where it differs from that of the other VMs.
     pub first_lease_ms: Option<u64>,
 }
@@ -239,6 +251,7 @@
             connections: 16,
             instance_regions: Vec::new(),
             warmup: None,
+            ranks_routes: false,
             first_lease_ms: None,
         }
     }
@@ -321,6 +334,7 @@
             age_ms: 1500,
             reads,
             homes: names(&sim.route_homes),
+            priority: u32::from(sim.ranks_routes && route != "latest"),
             ..Route::new(name(group))
         };
         fleet.routes.insert(name(route), entry);
@@ -330,6 +344,7 @@
         age_ms: 1500,
         reads: ReadConsistency::OwnAndAge,
         homes: names(&sim.route_homes),
+        priority: u32::from(sim.ranks_routes),
         ..Route::new(name("orders"))
     };
     fleet.routes.insert(name("keyed"), keyed);
@@ -365,6 +380,7 @@
         let fake = |i: usize| FakeInstance {
             is_alive: true,
             is_full: false,
+            is_busy: false,
             is_unresponsive: false,
             is_leaving: false,
             role: if i == 0 {
@@ -403,6 +419,10 @@
             held_writers: collections::BTreeSet::new(),
             unknown_outcomes: 0,
             refusals: Vec::new(),
+            retry_hints: Vec::new(),
+            busy_answers: 0,
+            granted: Vec::new(),
+            ranks_routes: options.ranks_routes,
             grants: Vec::new(),
             grant_records: Vec::new(),
             arrivals: Vec::new(),
@@ -629,6 +649,7 @@
                 }
             }
             event::Action::Grant(grant) => {
+                self.granted.push(grant.request);
                 self.grants
                     .push((instance_index(&grant.instance), grant.primary));
                 self.grant_records.push(GrantRecord {
@@ -645,7 +666,10 @@
             event::Action::RefuseRequest(_, refusal) if refusal.cause == Cause::OutcomeUnknown => {
                 self.unknown_outcomes += 1;
             }
-            event::Action::RefuseRequest(_, refusal) => self.refusals.push(refusal.cause),
+            event::Action::RefuseRequest(_, refusal) => {
+                self.refusals.push(refusal.cause);
+                self.retry_hints.push(refusal.retry_ms);
+            }
             // As in the daemon, the commit is acknowledged only before its deadline.
             event::Action::AcknowledgeCommit(_, _, until) if self.local_time(vm) < until => {
                 self.acknowledged.push(self.now);
