Reserve a connection of each instance for control calls

Reads used up the VM's connections to the replica that had every commit, and its PAUSE failed for want of one (`CallFailure::Full`).

Cause: control calls took a connection from the share of the requests.

Change: one connection of each instance is in no share, unless there are no more connections than VMs. The VM that replaces the leader opens it for STATUS, PAUSE, STEPDOWN and RESUME if requests use all others, and closes it after the call. Polls of a leader outside a replacement do without: they come from all VMs, and running requests show whether it lives.

--- a/components/daemon/src/links.rs
+++ b/components/daemon/src/links.rs
@@ -152,7 +152,8 @@
 
     /// Makes a call to an instance over any idle connection, or over a new one of
     /// the daemon itself, if the call is still valid once there is a connection. A call
-    /// without an answer is dropped with its connection.
+    /// without an answer is dropped with its connection. If requests use all connections,
+    /// a call that may use the reserve opens one that is closed after the call.
     pub fn call(
         &self,
         group: &Name,
@@ -171,24 +172,33 @@
             values: &values,
         };
         // These calls need no session values, so a connection of any customer will do.
-        let (login, link) = match self.pool.take_any(instance) {
-            Err(pool::Full) => return Err(CallFailure::Full),
+        let taken = self.pool.take_any(instance);
+        let is_reserved = taken.is_err();
+        let (login, link) = match taken {
+            Err(pool::Full) if !call.may_use_reserve() => return Err(CallFailure::Full),
             Ok(Some((login, link))) => (login, Ok(link)),
-            Ok(None) => (
+            Ok(None) | Err(pool::Full) => (
                 DAEMON_USER.to_string(),
                 self.connect(&spec, DAEMON_USER, limit),
             ),
         };
+        let give_back = |link| {
+            if !is_reserved {
+                self.pool.put(instance, &login, link);
+            }
+        };
         let link = match link {
             Ok(link) if !is_valid() => {
-                self.pool.put(instance, &login, link);
+                give_back(link);
                 return Err(CallFailure::Expired);
             }
             link => link,
         };
         let answered = link.and_then(|mut link| {
             let status_reply = match call {
-                monitor::Call::Poll | monitor::Call::Promote(_) => link.status(limit),
+                monitor::Call::Poll | monitor::Call::Check | monitor::Call::Promote(_) => {
+                    link.status(limit)
+                }
                 monitor::Call::Fence(term, _) => link.fence(term, limit),
                 monitor::Call::Demote(term, _) => link.demote(term, limit),
                 monitor::Call::Resume(_) => link.resume(limit),
@@ -197,11 +207,13 @@
         });
         match answered {
             Ok((status_reply, link)) => {
-                self.pool.put(instance, &login, link);
+                give_back(link);
                 Ok(status_reply)
             }
             Err(lost) => {
-                self.pool.forget_used(instance);
+                if !is_reserved {
+                    self.pool.forget_used(instance);
+                }
                 Err(CallFailure::Lost(lost))
             }
         }
--- a/components/daemon/src/monitor.rs
+++ b/components/daemon/src/monitor.rs
@@ -23,6 +23,8 @@
 pub enum Call {
     /// Report the status.
     Poll,
+    /// Report the status during a replacement.
+    Check,
     /// Accept a term; over a dialect, also pause replication. Not made from the time on.
     Fence(position::Term, kernel_time::Time),
     /// Become primary in a term.
@@ -38,12 +40,18 @@
     /// Whether the call may be sent at a time.
     pub fn is_valid(&self, now: kernel_time::Time) -> bool {
         match self {
-            Call::Poll | Call::Promote(_) => true,
+            Call::Poll | Call::Check | Call::Promote(_) => true,
             Call::Fence(_, deadline) | Call::Demote(_, deadline) | Call::Resume(deadline) => {
                 now < *deadline
             }
         }
     }
+
+    /// Whether the call may use the reserved connection if all others are in use. Polls of
+    /// a leader do without: the running requests show whether it is alive.
+    pub fn may_use_reserve(&self) -> bool {
+        !matches!(self, Call::Poll)
+    }
 }
 
 /// Queue of calls to one instance, and the thread that makes them. The thread ends
@@ -153,7 +161,7 @@
     let sent = runtime.clock.now();
     let is_valid = || call.is_valid(runtime.clock.now());
     let status_reply = links.call(group, instance, address, TIMEOUT, call, &is_valid);
-    let is_poll = matches!(call, Call::Poll);
+    let is_poll = matches!(call, Call::Poll | Call::Check);
     let mut status = None;
     match status_reply {
         Ok(dialect::StatusReply::Status(reported)) => status = Some(reported),
@@ -178,11 +186,11 @@
         ))) if is_poll => {
             return runtime.handle_event(event::Event::PollFailed(instance.clone(), true));
         }
-        Err(unasked) => log::debug!(instance = &***instance, unasked:%; "no status"),
+        Err(failure) => log::debug!(instance = &***instance, failure:%; "no status"),
     }
     let instance = instance.clone();
     runtime.handle_event(match call {
-        Call::Poll => event::Event::PollAnswered(event::PollReply {
+        Call::Poll | Call::Check => event::Event::PollAnswered(event::PollReply {
             instance,
             sent,
             status,
@@ -220,7 +228,7 @@
     };
     let instance = instance.clone();
     runtime.handle_event(match call {
-        Call::Poll => event::Event::PollAnswered(event::PollReply {
+        Call::Poll | Call::Check => event::Event::PollAnswered(event::PollReply {
             instance,
             sent,
             status: result.map(|(_, status)| status),
@@ -272,7 +280,9 @@
 ) -> Result<(bool, position::Status), wire::Failure> {
     let vm = &runtime.settings.vm;
     match call {
-        Call::Poll | Call::Demote(..) | Call::Resume(_) => Ok((true, wire::query_status(server)?)),
+        Call::Poll | Call::Check | Call::Demote(..) | Call::Resume(_) => {
+            Ok((true, wire::query_status(server)?))
+        }
         Call::Fence(term, _) => wire::fence(server, term, vm),
         Call::Promote(term) => wire::promote(server, term, vm),
     }
--- a/components/daemon/src/runtime.rs
+++ b/components/daemon/src/runtime.rs
@@ -142,6 +142,9 @@
                 self.answer(request, handle::Reply::Acknowledge(floor, until));
             }
             event::Action::Poll(instance) => self.call_monitor(&instance, monitor::Call::Poll),
+            event::Action::CheckStatus(instance) => {
+                self.call_monitor(&instance, monitor::Call::Check);
+            }
             event::Action::Fence(instance, term, deadline) => {
                 self.call_monitor(&instance, monitor::Call::Fence(term, deadline));
             }
--- a/components/kernel/src/budget/connections.rs
+++ b/components/kernel/src/budget/connections.rs
@@ -8,6 +8,10 @@
 //! There the instance itself limits its connections. A VM opens a connection when a
 //! request needs one, and keeps at most its equal share idle. When the instance
 //! refuses a connection, the VM opens no connection to that instance for a while.
+//!
+//! Where the store arbitrates, one connection of each instance belongs to no share. The
+//! VM that replaces the leader uses it for its control calls if requests use all
+//! connections of its share.
 
 use config::Name;
 
@@ -16,6 +20,8 @@
 /// Number of equal shares that one VM may have open. At any moment few VMs have
 /// requests for the same instance.
 const MAX_OPEN_SHARES: u64 = 4;
+/// Connections of an instance that are reserved for control calls.
+const RESERVED_CONNECTIONS: u64 = 1;
 /// Connections that a VM may always have open, so that an idle transaction does not
 /// block other requests.
 const MIN_OPEN_CONNECTIONS: u64 = 3;
@@ -53,6 +59,16 @@
         && (members > MAX_SHARING_MEMBERS || is_small)
 }
 
+/// Connections of an instance that VMs share for requests. If there is no more than one
+/// for each VM, none is reserved.
+pub(super) fn shared(total: u64, members: u64) -> u64 {
+    if total > members {
+        total - RESERVED_CONNECTIONS
+    } else {
+        total
+    }
+}
+
 impl Budgets {
     /// Limits on the connections from this VM to the instance.
     pub fn connection_limits(&self, instance: &Name) -> ConnectionLimits {
--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -570,7 +570,7 @@
         // Each member needs a connection for its polls, and one more is reserved for
         // a VM that is not yet a member.
         Resource::Connections(_) if polls_reserved => total.saturating_sub(members + 1),
-        Resource::Connections(_) => total,
+        Resource::Connections(_) => connections::shared(total, members),
     };
     total / members + u64::from(rank < total % members)
 }
--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -389,6 +389,9 @@
     AcknowledgeCommit(RequestId, position::Position, time::Time),
     /// Ask the instance for its status.
     Poll(Name),
+    /// Ask the instance for its status during a replacement, over the reserved
+    /// connection if requests use all others.
+    CheckStatus(Name),
     /// Ask the instance to accept a term; if the store arbitrates, also to pause
     /// replication. Not sent from the given time on.
     Fence(Name, position::Term, time::Time),
--- a/components/kernel/src/replacement.rs
+++ b/components/kernel/src/replacement.rs
@@ -129,7 +129,9 @@
             handover::Step::BreakConnections(instance) => {
                 self.actions.push(event::Action::BreakConnections(instance));
             }
-            handover::Step::Poll(instance) => self.actions.push(event::Action::Poll(instance)),
+            handover::Step::Poll(instance) => {
+                self.actions.push(event::Action::CheckStatus(instance));
+            }
             handover::Step::PauseReplication(instance, term, deadline) => {
                 self.actions
                     .push(event::Action::Fence(instance, term, deadline));
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -510,7 +510,7 @@
 
     fn perform(&mut self, vm: usize, action: event::Action) {
         match action {
-            event::Action::Poll(instance) => {
+            event::Action::Poll(instance) | event::Action::CheckStatus(instance) => {
                 let sent = self.local_time(vm);
                 let delivery = Delivery::Poll(vm, instance_index(&instance), sent);
                 self.schedule(LINK_DELAY, delivery);
