Wait for a replica that is known to be ahead of the candidates

A replica that had answered reads at a higher position did not confirm its pause within 400 ms, and a replica that was behind was promoted.

Cause: only confirmed pauses counted; positions known from other answers were not looked at.

Change: while a replica is known to be ahead of all that have confirmed, the stage waits for it up to 1.5 s, and at most until 500 ms before the deadline of the claim. Then it goes on, and the decision `passed_over` names the replica. A replica to which connections get no answer is not waited for, as it may be gone.

Ruled out: an unbounded wait, since the replica may be lost without the VM knowing.

--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -98,6 +98,22 @@
         backoff.is_some_and(|b| b.is_unreachable || b.is_probing || now < b.until)
     }
 
+    /// Whether the instance did not answer connections at all.
+    pub fn is_unreachable(&self, instance: &Name) -> bool {
+        let state = self.instances.get(instance);
+        let backoff = state.and_then(|state| state.backoff);
+        backoff.is_some_and(|backoff| backoff.is_unreachable)
+    }
+
+    /// Position that an instance had reached at least when it last answered.
+    pub fn known_position(&self, instance: &Name) -> Option<position::Position> {
+        let (_, status) = self.instances.get(instance)?.status?;
+        Some(position::Position {
+            term: status.term,
+            lsn: status.received,
+        })
+    }
+
     /// Records whether a request is testing an instance whose connections have
     /// failed; other requests wait for the result.
     pub fn set_probing(&mut self, instance: &Name, is_probing: bool) {
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -36,6 +36,14 @@
         /// Number of VMs that did not answer.
         silent: usize,
     },
+    /// An instance that is ahead of the candidates has not confirmed its pause in time.
+    #[display("passing over {instance}, known at {known}, which did not confirm its pause")]
+    PassedOver {
+        /// Instance name.
+        instance: Name,
+        /// Highest position known of the instance.
+        known: position::Position,
+    },
     /// An instance was chosen for promotion.
     #[display("ordering promotion of {instance} at {floor} with token {token}")]
     Ordering {
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -13,6 +13,11 @@
 const CATCH_UP_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
 /// Time limit for the replicas to confirm that replication is paused.
 const PAUSE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
+/// Time limit for the pause of a replica that is known to be ahead of all that have
+/// confirmed.
+const AHEAD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
+/// Time before the deadline of a claim that is left for the order.
+const ORDER_MARGIN: std_time::Duration = std_time::Duration::from_millis(500);
 /// Delay before a replica that has not confirmed the pause is asked again.
 const PAUSE_RETRY: std_time::Duration = std_time::Duration::from_millis(20);
 /// Poll period for an instance that a stage waits for.
@@ -181,8 +186,27 @@
     Stage::CatchingUp { since }
 }
 
-/// Pauses replication on the replicas, so that their positions no longer
-/// change.
+/// Instance that is known to be ahead of all replicas that have confirmed their pause, with
+/// its position. An instance that is unreachable does not count.
+fn find_ahead(
+    replicas: &[&Name],
+    paused: &collections::BTreeMap<Name, position::Position>,
+    context: &Context<'_>,
+) -> Option<(Name, position::Position)> {
+    let best = paused.values().max()?;
+    let waiting = replicas
+        .iter()
+        .filter(|name| !paused.contains_key(**name) && !context.group.is_unreachable(name));
+    let known = waiting.filter_map(|name| Some((*name, context.group.known_position(name)?)));
+    let ahead = known.filter(|(_, position)| position > best);
+    ahead
+        .max_by_key(|(_, position)| *position)
+        .map(|(name, position)| ((*name).clone(), position))
+}
+
+/// Pauses replication on the replicas, so that their positions no longer change. A
+/// replica that is known to be ahead of the others is waited for longer than one about
+/// which nothing is known, but it may be lost.
 pub(super) fn pause_replicas(
     attempt: &Attempt,
     since: time::Time,
@@ -209,14 +233,21 @@
         }
     }
     let is_complete = !replicas.is_empty() && paused.len() >= replicas.len();
-    let is_late = context.now.since(since) >= PAUSE_TIMEOUT;
-    if is_complete || (is_late && !paused.is_empty()) {
+    let waited = context.now.since(since);
+    let is_late = waited >= PAUSE_TIMEOUT;
+    let is_last_chance = context.now + ORDER_MARGIN >= deadline;
+    let ahead = find_ahead(&replicas, &paused, context);
+    let may_wait = ahead.is_some() && waited < AHEAD_TIMEOUT && !is_last_chance;
+    if is_complete || (is_late && !paused.is_empty() && !may_wait) {
+        if let Some((instance, known)) = ahead {
+            out.push(Step::Note(Note::PassedOver { instance, known }));
+        }
         return Stage::Ordering {
             candidates: rank_candidates(paused.into_iter().collect(), context),
             sent: None,
         };
     }
-    if is_late {
+    if is_late && paused.is_empty() {
         return start_pausing(context.now);
     }
     Stage::Pausing {
