Promote an instance of an abandoned branch only if nothing else answers

What callers saw: reads on primary routes lacked commits that had been acknowledged and came back later (STALE). A crashed primary returned with commits that the recorded leader had dropped, and was promoted when that leader crashed.

Cause: candidates were ranked by position alone; a position was not held against the start of the recorded term.

Change: a position of a term below the recorded one and beyond its start is on an abandoned branch. It ranks below all others. If nothing better has confirmed, the stage waits up to 4 s (at most until 500 ms before the deadline of the claim) for an instance of the recorded term; the old leader counts, as it may have come back with its log. Then the abandoned branch is used, and the decision `abandoned` says so. If the recorded leader leads on in its term, the start of the term stays.

Ruled out: never promoting such an instance; the service would stay without a leader.

The whole tests of the crate and the linter have not been run on this commit.

--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -588,7 +588,7 @@
                 paused,
             } => {
                 attempt.stage =
-                    stage::pause_replicas(&attempt, since, requests, paused, context, out);
+                    stage::pause_replicas(&mut attempt, since, requests, paused, context, out);
             }
             Stage::Ordering { candidates, sent } => {
                 attempt.stage = stage::order(&attempt, candidates, sent, context, out);
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -44,6 +44,18 @@
         /// Highest position known of the instance.
         known: position::Position,
     },
+    /// Only instances of abandoned branches have answered; the best of them is used.
+    #[display(
+        "{instance} is on an abandoned branch at {position}: the last term began at {start}, and no instance of it answers"
+    )]
+    Abandoned {
+        /// Instance name.
+        instance: Name,
+        /// Position of the instance.
+        position: position::Position,
+        /// Position at which the recorded term began.
+        start: position::Position,
+    },
     /// An instance was chosen for promotion.
     #[display("ordering promotion of {instance} at {floor} with token {token}")]
     Ordering {
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -16,6 +16,9 @@
 /// Time limit for the pause of a replica that is known to be ahead of all that have
 /// confirmed.
 const AHEAD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
+/// Time limit for an instance of the recorded term to answer if all that have confirmed
+/// are on abandoned branches.
+const BRANCH_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(4_000);
 /// Time before the deadline of a claim that is left for the order.
 const ORDER_MARGIN: std_time::Duration = std_time::Duration::from_millis(500);
 /// Delay before a replica that has not confirmed the pause is asked again.
@@ -186,6 +189,36 @@
     Stage::CatchingUp { since }
 }
 
+/// Position at which the recorded term began; term 0 if unknown.
+fn recorded_start(context: &Context<'_>) -> position::Position {
+    let row = context.leader.as_ref();
+    row.map(|row| row.start).unwrap_or_default()
+}
+
+/// Whether a position is on an abandoned branch: the log has commits beyond the start of
+/// the recorded term, but not in that term.
+fn is_abandoned(position: position::Position, context: &Context<'_>) -> bool {
+    let start = recorded_start(context);
+    position.term < start.term && position.lsn > start.lsn
+}
+
+/// Rank of a position among the candidates; abandoned branches come last.
+fn standing(position: position::Position, context: &Context<'_>) -> (bool, position::Position) {
+    (!is_abandoned(position, context), position)
+}
+
+/// Best of the candidates if it is on an abandoned branch.
+fn find_abandoned(
+    paused: &collections::BTreeMap<Name, position::Position>,
+    context: &Context<'_>,
+) -> Option<(Name, position::Position)> {
+    let best = paused
+        .iter()
+        .max_by_key(|(_, position)| standing(**position, context))?;
+    let (name, position) = best;
+    is_abandoned(*position, context).then(|| (name.clone(), *position))
+}
+
 /// Instance that is known to be ahead of all replicas that have confirmed their pause, with
 /// its position. An instance that is unreachable does not count.
 fn find_ahead(
@@ -193,25 +226,31 @@
     paused: &collections::BTreeMap<Name, position::Position>,
     context: &Context<'_>,
 ) -> Option<(Name, position::Position)> {
-    let best = paused.values().max()?;
+    let best = paused
+        .values()
+        .map(|position| standing(*position, context))
+        .max()?;
     let waiting = replicas
         .iter()
         .filter(|name| !paused.contains_key(**name) && !context.group.is_unreachable(name));
     let known = waiting.filter_map(|name| Some((*name, context.group.known_position(name)?)));
-    let ahead = known.filter(|(_, position)| position > best);
+    let ahead = known.filter(|(_, position)| standing(*position, context) > best);
     ahead
-        .max_by_key(|(_, position)| *position)
+        .max_by_key(|(_, position)| standing(*position, context))
         .map(|(name, position)| ((*name).clone(), position))
 }
 
 /// Pauses replication on the replicas, so that their positions no longer change. A
 /// replica that is known to be ahead of the others is waited for longer than one about
 /// which nothing is known, but it may be lost.
+///
+/// Replicas of abandoned branches are used only if no other instance answers. The old
+/// leader counts here too: it may have come back with its log.
 pub(super) fn pause_replicas(
-    attempt: &Attempt,
+    attempt: &mut Attempt,
     since: time::Time,
     mut requests: collections::BTreeMap<Name, PauseRequest>,
-    paused: collections::BTreeMap<Name, position::Position>,
+    mut paused: collections::BTreeMap<Name, position::Position>,
     context: &Context<'_>,
     out: &mut Vec<Step>,
 ) -> Stage {
@@ -232,16 +271,48 @@
             requests.insert((*name).clone(), PauseRequest::Sent);
         }
     }
-    let is_complete = !replicas.is_empty() && paused.len() >= replicas.len();
+    let has_paused = |name: &&Name| paused.contains_key(*name);
+    let is_complete = !replicas.is_empty() && replicas.iter().all(has_paused);
     let waited = context.now.since(since);
     let is_late = waited >= PAUSE_TIMEOUT;
     let is_last_chance = context.now + ORDER_MARGIN >= deadline;
+    let mut abandoned = find_abandoned(&paused, context);
+    if abandoned.is_some()
+        && let Some(old_leader) = attempt.old_leader.clone()
+    {
+        match status_since(context, &old_leader, since) {
+            Some(status) => {
+                let position = position::Position {
+                    term: status.term,
+                    lsn: status.received,
+                };
+                paused.insert(old_leader, position);
+                abandoned = find_abandoned(&paused, context);
+            }
+            None => poll_instances(attempt, context, vec![old_leader], out),
+        }
+    }
+    if abandoned.is_some() && waited < BRANCH_TIMEOUT && !is_last_chance {
+        return Stage::Pausing {
+            since,
+            requests,
+            paused,
+        };
+    }
     let ahead = find_ahead(&replicas, &paused, context);
     let may_wait = ahead.is_some() && waited < AHEAD_TIMEOUT && !is_last_chance;
     if is_complete || (is_late && !paused.is_empty() && !may_wait) {
         if let Some((instance, known)) = ahead {
             out.push(Step::Note(Note::PassedOver { instance, known }));
         }
+        if let Some((instance, position)) = abandoned {
+            let start = recorded_start(context);
+            out.push(Step::Note(Note::Abandoned {
+                instance,
+                position,
+                start,
+            }));
+        }
         return Stage::Ordering {
             candidates: rank_candidates(paused.into_iter().collect(), context),
             sent: None,
@@ -257,8 +328,8 @@
     }
 }
 
-/// Sorts the candidates by descending position. Of candidates with equal
-/// positions, those that are not leaving and those in this region come first.
+/// Sorts the candidates by descending position, abandoned branches last. Of candidates
+/// with equal positions, those that are not leaving and those in this region come first.
 fn rank_candidates(
     mut candidates: Vec<(Name, position::Position)>,
     context: &Context<'_>,
@@ -271,7 +342,8 @@
             .is_none_or(|state| state.leaving);
         let domain = context.view.registration(name).map(|entry| &entry.domain);
         let is_near = domain.and_then(|domain| context.regions.get(domain)) == Some(context.region);
-        (std::cmp::Reverse(*position), is_leaving, !is_near)
+        let standing = standing(*position, context);
+        (std::cmp::Reverse(standing), is_leaving, !is_near)
     });
     candidates.into()
 }
@@ -328,10 +400,14 @@
     });
     if let Some(status) = confirmed {
         // A replica that restarted after its pause has received more than it reported then.
-        let start = position::Position {
+        let reported = position::Position {
             term: status.term,
             lsn: status.received,
         };
+        // The leader of the recorded term may have come back.
+        let start = Some(recorded_start(context))
+            .filter(|start| start.term == status.term)
+            .unwrap_or(reported);
         out.push(Step::Note(Note::Leads {
             instance: instance.clone(),
             term: status.term,
--- a/components/kernel/tests/candidates.rs
+++ b/components/kernel/tests/candidates.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code)]
 mod store_arbiter;
 
+use kernel::{event, leader, position};
 use store_arbiter::{Options, Simulation, ms};
 
 /// Time in which a VM notices the loss of a leader and claims its replacement.
@@ -81,3 +82,75 @@
     assert_eq!(sim.promotion_orders.len(), 1, "{:?}", sim.decisions);
     assert_eq!(sim.promotion_orders[0].1, 2, "{:?}", sim.decisions);
 }
+
+/// Simulation in which the leader of term 1 has come back with commits that the leader of
+/// term 2 lacks, while that leader and the other replica are lost. Returns the latter two.
+fn with_abandoned_branch() -> (Simulation, usize, usize) {
+    let mut sim = Simulation::new(&Options::default());
+    sim.write_for(500);
+    sim.instances[0].is_alive = false;
+    sim.write_for(3000);
+    let leader = sim.leader().expect("an instance leads");
+    let other = 3 - leader;
+    sim.instances[leader].is_alive = false;
+    sim.instances[other].is_alive = false;
+    sim.instances[0].is_alive = true;
+    sim.instances[0].role = position::Role::Replica;
+    sim.instances[0].received = sim.instances[leader].received + 50;
+    (sim, leader, other)
+}
+
+fn recorded_leader(sim: &Simulation) -> leader::Leader {
+    let key = event::RowKey::Leader(store_arbiter::name("orders"));
+    match sim.store.row(&key) {
+        Some(event::Row::Leader(_, leader)) => leader.clone(),
+        other => panic!("no leader is recorded: {other:?}"),
+    }
+}
+
+/// Guards against commits that return with an instance of an abandoned branch while the
+/// leader that replaced it is about to come back.
+#[test]
+fn an_instance_of_an_abandoned_branch_waits_for_the_recorded_leader() {
+    let (mut sim, leader, _) = with_abandoned_branch();
+    let before = recorded_leader(&sim);
+    sim.write_for(CLAIM_TIME + 1500);
+    sim.instances[leader].is_alive = true;
+    sim.write_for(3500);
+    let promoted: Vec<_> = sim.promotion_orders.iter().map(|(_, i)| *i).collect();
+    assert!(!promoted.contains(&0), "{promoted:?}: {:?}", sim.decisions);
+    assert_eq!(sim.leader(), Some(leader), "{:?}", sim.decisions);
+    let last = sim.acknowledged.last().copied().expect("a write");
+    assert!(sim.now.since(last) < ms(200), "{:?}", sim.decisions);
+    // Positions of abandoned branches are held against the start, which belongs to the term.
+    let start = recorded_leader(&sim).start;
+    assert!(start.term > before.start.term || start == before.start);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+/// Guards against a service that stays without a leader because only an instance of an
+/// abandoned branch is left.
+#[test]
+fn an_instance_of_an_abandoned_branch_leads_if_no_other_is_left() {
+    let (mut sim, _, _) = with_abandoned_branch();
+    sim.write_for(CLAIM_TIME + 6000);
+    assert_eq!(sim.leader(), Some(0), "{:?}", sim.decisions);
+    assert!(
+        sim.has_decision("db-0 is on an abandoned branch"),
+        "{:?}",
+        sim.decisions
+    );
+}
+
+/// Guards against the higher position of an abandoned branch outranking a replica that
+/// lacks only later commits.
+#[test]
+fn an_instance_of_an_abandoned_branch_ranks_below_one_that_is_behind() {
+    let (mut sim, _, other) = with_abandoned_branch();
+    let start = recorded_leader(&sim).start;
+    sim.instances[other].is_alive = true;
+    sim.instances[other].term = 1;
+    sim.instances[other].received = start.lsn.0 - 1;
+    sim.write_for(CLAIM_TIME + 2000);
+    assert_eq!(sim.leader(), Some(other), "{:?}", sim.decisions);
+}
