Bound the memory, time and connections that callers take

Callers saw daemons grow without a bound: each session kept what was sent to it, prepared names had no limit, an unfinished message or an unread answer had no time limit, and startups were not counted. A caller that stopped before its key held a session.

Messages over 8 KiB are charged to one intake of the process, a quarter of the new setting `limits.memory`, with fair parts for the customers; without room the session stops reading, and after `limits.receive` it is refused and closed. Names, values and settings that a session keeps are charged too. `limits.receive` bounds a message or batch from its first byte, `limits.startup` the whole startup with TLS and key, `limits.send` an unread answer. Startups count towards `limits.sessions`; the oldest gives way. A session takes one descriptor in place of two, and three with TLS. Buffers shrink after large messages.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -125,6 +125,9 @@
 struct RawLimits {
     message: Option<Span<u64>>,
     sessions: Option<Span<u64>>,
+    memory: Option<Span<u64>>,
+    receive: Option<Span<String>>,
+    send: Option<Span<String>>,
     startup: Option<Span<String>>,
     idle: Option<Span<String>>,
     wait: Option<Span<String>>,
@@ -182,6 +185,15 @@
     Ok(usize::try_from(value).unwrap_or(usize::MAX))
 }
 
+/// Reads the memory of the process, in MiB.
+fn parse_memory(span: Option<&Span<u64>>) -> LocatedResult<usize> {
+    let Some(span) = span else {
+        return Ok(settings::Intake::default().memory_bytes);
+    };
+    let value = check_range(span, "limits.memory", 1, 1 << 20)?;
+    Ok(usize::try_from(value << 20).unwrap_or(usize::MAX))
+}
+
 fn parse_tolerance(span: Option<&Span<u64>>) -> LocatedResult<u32> {
     let value = span.map_or(Ok(0), |s| check_range(s, "limits.tolerance", 0, 1 << 20))?;
     Ok(u32::try_from(value).unwrap_or(u32::MAX))
@@ -214,6 +226,19 @@
     }
 }
 
+impl TryFrom<&RawLimits> for settings::Intake {
+    type Error = (u64, failure::Problem);
+
+    fn try_from(raw: &RawLimits) -> Result<Self, Self::Error> {
+        let defaults = Self::default();
+        Ok(Self {
+            memory_bytes: parse_memory(raw.memory.as_ref())?,
+            receive_timeout: duration_or(raw.receive.as_ref(), defaults.receive_timeout)?,
+            send_timeout: duration_or(raw.send.as_ref(), defaults.send_timeout)?,
+        })
+    }
+}
+
 impl TryFrom<&RawTiming> for settings::Timing {
     type Error = (u64, failure::Problem);
 
@@ -306,6 +331,7 @@
                 key: tls.key,
             }),
             limits: (&raw.limits).try_into()?,
+            intake: (&raw.limits).try_into()?,
             timing: (&raw.timing).try_into()?,
             policy: (&raw.policy).try_into()?,
             log_level: raw.level.as_ref().map_or(Ok(info), parse_name)?,
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -20,4 +20,4 @@
 pub use key::KeyDigest;
 pub use name::Name;
 pub use note::{Change, Entry, Note, Withdrawal};
-pub use settings::{Credentials, Limits, Policy, Settings, Timing, Tls};
+pub use settings::{Credentials, Intake, Limits, Policy, Settings, Timing, Tls};
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -43,6 +43,27 @@
     pub overage_percent: u32,
 }
 
+/// Limits on what callers may take of the process.
+#[derive(Clone, Debug)]
+pub struct Intake {
+    /// Memory of the process.
+    pub memory_bytes: usize,
+    /// Time in which a message, once begun, must be complete.
+    pub receive_timeout: time::Duration,
+    /// Time for which a caller may leave an answer unread.
+    pub send_timeout: time::Duration,
+}
+
+impl Default for Intake {
+    fn default() -> Self {
+        Self {
+            memory_bytes: 4 << 30,
+            receive_timeout: time::Duration::from_secs(30),
+            send_timeout: time::Duration::from_secs(30),
+        }
+    }
+}
+
 /// Periods and timeouts of the control plane.
 #[derive(Clone, Debug)]
 pub struct Timing {
@@ -127,6 +148,8 @@
     pub tls: Option<Tls>,
     /// Limits on callers.
     pub limits: Limits,
+    /// Limits on what callers may take of the process.
+    pub intake: Intake,
     /// Periods and timeouts of the control plane.
     pub timing: Timing,
     /// Policies, by name.
--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -32,6 +32,7 @@
 fn fixtures_are_valid() {
     let settings = read_settings(SETTINGS, &origin()).expect("valid settings");
     assert_eq!(settings.limits.message_bytes, 65_536);
+    assert_eq!(settings.intake.memory_bytes, 4 << 30);
     let note = read_note(NOTE, &origin()).expect("a valid note");
     let fleet = note
         .apply(&Fleet::default())
@@ -61,6 +62,13 @@
         ("vm: vm-1", "vm: 'vm 1'", 1, "is not a name"),
         ("listen: 127.0.0.1:6432", "listen: here", 5, "write IP:port"),
         ("message: 65536", "message: 0", 13, "must be between"),
+        ("message: 65536", "memory: 0", 13, "must be between"),
+        (
+            "message: 65536",
+            "receive: 3",
+            13,
+            "write a number and a unit",
+        ),
     ] {
         let text = settings_failure(from, to);
         assert!(text.starts_with(&format!("file.yaml:{line}: ")), "{text}");
--- a/components/daemon/src/admin.rs
+++ b/components/daemon/src/admin.rs
@@ -74,6 +74,7 @@
         )
     });
     runtime.metrics.set_control_state(waiting, revision, fresh);
+    runtime.metrics.set_intake(runtime.intake.held());
     runtime.metrics.encode()
 }
 
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -164,14 +164,18 @@
                     return false;
                 }
                 let (runtime, tls) = (runtime.clone(), tls.clone());
-                let serve = move || {
-                    if let Some(links) = runtime.links() {
-                        if let Err(failure) = dialect_session::serve(&runtime, links, socket) {
-                            log::debug!("session ended: {failure}");
-                        }
-                    } else if let Err(failure) = session::serve(&runtime, socket, tls.as_ref()) {
-                        log::debug!("session ended: {failure}");
-                    }
+                let socket = sync::Arc::new(socket);
+                let limit = runtime.settings.limits.max_sessions;
+                let sessions = runtime.session_count();
+                let admitted = runtime
+                    .startups
+                    .admit(&socket, sessions, limit, &runtime.metrics);
+                let Some(startup) = admitted else {
+                    return true;
+                };
+                let serve = move || match runtime.links() {
+                    Some(links) => dialect_session::serve(&runtime, links, socket, startup),
+                    None => session::serve(&runtime, socket, tls.as_ref(), startup),
                 };
                 if let Err(error) = workers.run(Box::new(serve)) {
                     log::warn!("cannot start a thread for the session: {error}");
--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -11,7 +11,7 @@
 use errors::{Cause, Refusal};
 use kernel::{event, position};
 
-use crate::{handle, links, runtime};
+use crate::{handle, links, runtime, startups};
 
 mod connection;
 mod transaction;
@@ -24,6 +24,10 @@
 const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(15);
 /// Time limit of a statement on a route that sets none.
 const DEFAULT_STATEMENT_LIMIT: std_time::Duration = std_time::Duration::from_secs(5);
+/// Retry hint in a refusal for which no memory is free.
+const FULL_RETRY_MS: u32 = 1_000;
+/// Memory of a kept value or statement besides its bytes.
+const ENTRY_BYTES: usize = 128;
 /// Number of attempts of a read on a route that sets none.
 const DEFAULT_READ_ATTEMPTS: u32 = 2;
 
@@ -34,6 +38,9 @@
     writes: bool,
 }
 
+/// Result of an answer to the caller.
+type Answered = Result<(), dialect::CallerFailure>;
+
 /// Session of an accepted caller.
 struct Session {
     runtime: sync::Arc<runtime::Runtime>,
@@ -42,6 +49,8 @@
     id: event::SessionId,
     route: String,
     customer: Option<Name>,
+    /// Account of the values and prepared statements.
+    kept: intake::Account,
     values: dialect::SessionValues,
     prepared: collections::HashMap<String, dialect::PreparedStatement>,
     transaction: Option<Transaction>,
@@ -51,10 +60,36 @@
 pub fn serve(
     runtime: &sync::Arc<runtime::Runtime>,
     links: &links::Links,
-    socket: net::TcpStream,
+    socket: sync::Arc<net::TcpStream>,
+    starting: startups::Startup,
+) {
+    let Err(failure) = serve_session(runtime, links, socket, starting) else {
+        return;
+    };
+    let kind = match &failure {
+        dialect::CallerFailure::Full => "memory",
+        dialect::CallerFailure::Slow => "slow",
+        // Reads that time out do not end the session.
+        dialect::CallerFailure::TimedOut => "unread",
+        _ => return log::debug!("session ended: {failure}"),
+    };
+    runtime.end_misused(kind);
+}
+
+fn serve_session(
+    runtime: &sync::Arc<runtime::Runtime>,
+    links: &links::Links,
+    socket: sync::Arc<net::TcpStream>,
+    starting: startups::Startup,
 ) -> Result<(), dialect::CallerFailure> {
     let limits = &runtime.settings.limits;
-    let mut caller = (links.dialect().accept)(socket, limits.message_bytes)?;
+    let caller_limits = dialect::CallerLimits {
+        message_bytes: limits.message_bytes,
+        receive_timeout: runtime.settings.intake.receive_timeout,
+        send_timeout: runtime.settings.intake.send_timeout,
+        account: runtime.open_account(None),
+    };
+    let mut caller = (links.dialect().accept)(socket, caller_limits)?;
     let startup = match caller.read_startup(limits.startup_timeout) {
         Err(dialect::CallerFailure::Malformed) => {
             return caller.reject(&Refusal::new(Cause::Protocol, 0));
@@ -66,6 +101,7 @@
     }
     let handle = sync::Arc::new(handle::Handle::with_deferred_end(caller.socket()));
     let id = runtime.open_session(handle.clone());
+    drop(starting);
     runtime.handle_event(event::Event::SessionRequested(event::SessionRequest {
         session: id,
         digest: startup.key.as_deref().map(config::KeyDigest::of),
@@ -74,7 +110,12 @@
     }));
     let result = match handle.wait_reply() {
         handle::Reply::Accept(session_route) => {
+            if let Some(customer) = &session_route.customer {
+                caller.set_owner((&***customer).into());
+            }
+            let kept = runtime.open_account(session_route.customer.as_ref());
             let mut session = Session {
+                kept,
                 runtime: runtime.clone(),
                 caller,
                 handle,
@@ -122,11 +163,65 @@
                     self.refuse(None, &Refusal::new(Cause::Protocol, 0))?;
                     return Err(dialect::CallerFailure::Malformed);
                 }
+                Err(dialect::CallerFailure::Slow) => {
+                    self.refuse(None, &Refusal::new(Cause::Protocol, 0))?;
+                    return Err(dialect::CallerFailure::Slow);
+                }
+                Err(dialect::CallerFailure::Full) => {
+                    self.refuse(None, &Refusal::new(Cause::NoCapacity, FULL_RETRY_MS))?;
+                    return Err(dialect::CallerFailure::Full);
+                }
                 Err(failure) => return Err(failure),
             }
         }
     }
 
+    /// Charges a value or prepared statement in place of the one of the same name, if any;
+    /// returns false if no memory is free.
+    fn keep(&mut self, name: &str, text: &str, replaced: Option<usize>) -> bool {
+        let bytes = kept_bytes(name, text);
+        if !self.kept.keep(bytes) {
+            return false;
+        }
+        if let Some(length) = replaced {
+            self.kept
+                .drop_kept(kept_bytes(name, "") + length * intake::COPIES);
+        }
+        true
+    }
+
+    fn set_value(&mut self, call: &dialect::Call, name: &str, value: &str) -> Answered {
+        let replaced = self.values.get(name).map(String::len);
+        if !self.keep(name, value, replaced) {
+            let refusal = Refusal::new(Cause::NoCapacity, FULL_RETRY_MS);
+            return self.refuse(Some(call), &refusal);
+        }
+        self.values.insert(name.into(), value.into());
+        self.caller.complete(self.transaction_state())
+    }
+
+    fn prepare(
+        &mut self,
+        call: &dialect::Call,
+        name: &str,
+        statement: &dialect::PreparedStatement,
+    ) -> Answered {
+        let replaced = self.prepared.get(name).map(|kept| kept.text.len());
+        if !self.keep(name, &statement.text, replaced) {
+            let refusal = Refusal::new(Cause::NoCapacity, FULL_RETRY_MS);
+            return self.refuse(Some(call), &refusal);
+        }
+        self.prepared.insert(name.into(), statement.clone());
+        self.caller.complete(self.transaction_state())
+    }
+
+    fn deallocate(&mut self, name: &str) -> Answered {
+        if let Some(removed) = self.prepared.remove(name) {
+            self.kept.drop_kept(kept_bytes(name, &removed.text));
+        }
+        self.caller.complete(self.transaction_state())
+    }
+
     /// Answers the call that the caller sends after the session was told to end.
     fn answer_final_call(
         &mut self,
@@ -211,17 +306,12 @@
         let (run, writes) = match &call.statement {
             dialect::Statement::Begin { is_read_only } => return self.begin(call, *is_read_only),
             dialect::Statement::Set { name, value } => {
-                self.values.insert(name.clone(), value.clone());
-                return self.caller.complete(self.transaction_state());
+                return self.set_value(call, name, value);
             }
             dialect::Statement::Prepare { name, statement } => {
-                self.prepared.insert(name.clone(), statement.clone());
-                return self.caller.complete(self.transaction_state());
-            }
-            dialect::Statement::Deallocate { name } => {
-                self.prepared.remove(name);
-                return self.caller.complete(self.transaction_state());
+                return self.prepare(call, name, statement);
             }
+            dialect::Statement::Deallocate { name } => return self.deallocate(name),
             dialect::Statement::Rollback => return self.end_with_rollback(links, call, None),
             dialect::Statement::Commit if self.transaction.is_none() => {
                 return self.refuse(None, &Refusal::new(Cause::Protocol, 0));
@@ -419,8 +509,9 @@
         if committed {
             return self.acknowledge_commit(links, planned.call, connection, reply, start);
         }
-        let result = self.caller.forward(reply);
+        // A caller that does not read holds no connection of the instance.
         self.return_to_pool(links, connection, event::RequestOutcome::Uncommitted);
+        let result = self.caller.forward(reply);
         self.record_outcome(outcome, start.elapsed());
         result
     }
@@ -464,6 +555,12 @@
     }
 }
 
+/// Bytes to charge for a value or prepared statement, with the copies that connections to
+/// instances keep.
+fn kept_bytes(name: &str, text: &str) -> usize {
+    ENTRY_BYTES + name.len() + text.len() * intake::COPIES
+}
+
 /// Whether an answer tells that a statement has run, or that it has not.
 fn is_outcome_told(outcome: dialect::Outcome) -> bool {
     match outcome {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod runtime;
 mod session;
 mod sockets;
+mod startups;
 mod tick_wakeup;
 mod tls;
 mod workers;
--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -16,6 +16,9 @@
 /// read the answer first.
 const CLOSE_DELAY: std_time::Duration = std_time::Duration::from_millis(250);
 
+/// Retry hint in the refusal of a message for which no memory is free.
+const FULL_RETRY_MS: u32 = 1_000;
+
 /// Connection that a request holds.
 struct Connection {
     server: wire::ServerConnection,
@@ -81,6 +84,12 @@
         key: &[u8],
     ) -> Result<(), wire::Failure> {
         self.database.clone_from(&session_route.database);
+        let customer = session_route.customer.as_ref();
+        let receive_timeout = self.runtime.settings.intake.receive_timeout;
+        let account = self.runtime.open_account(customer);
+        self.caller.set_meter(account, receive_timeout);
+        self.statements
+            .set_account(self.runtime.open_account(customer));
         let result = self.serve(route, session_route, key);
         self.discard_connection();
         if let Some(refusal) = self.handle.end_reason() {
@@ -91,6 +100,14 @@
             Err(wire::Failure::TooLarge(_) | wire::Failure::Malformed) => {
                 self.close_with_error(&Refusal::new(Cause::Protocol, 0))
             }
+            Err(wire::Failure::Slow) => {
+                self.close_with_error(&Refusal::new(Cause::Protocol, 0))?;
+                result
+            }
+            Err(wire::Failure::Full) => {
+                self.close_with_error(&Refusal::new(Cause::NoCapacity, FULL_RETRY_MS))?;
+                result
+            }
             Err(wire::Failure::Closed) => Ok(()),
             _ => result,
         }
--- a/components/daemon/src/runtime.rs
+++ b/components/daemon/src/runtime.rs
@@ -10,8 +10,11 @@
 use errors::{Cause, Refusal};
 use kernel::{event, journal};
 
-use crate::{clock, handle, links, locks, monitor, platform, pool, sockets, tick_wakeup};
+use crate::{clock, handle, links, locks, monitor, platform, pool, sockets, startups, tick_wakeup};
 
+/// Part of the memory of the process for what callers send; the rest is for the daemon, its
+/// threads and its connections.
+const INTAKE_SHARE: usize = 4;
 /// Bits of a request's number in its identifier, below the session's identifier.
 const REQUEST_BITS: u32 = 24;
 
@@ -33,6 +36,10 @@
     pub clock: clock::Clock,
     /// Metrics.
     pub metrics: telemetry::Metrics,
+    /// Memory for what callers send.
+    pub intake: sync::Arc<intake::Intake>,
+    /// Connections whose startup is not complete.
+    pub startups: sync::Arc<startups::Startups>,
     /// Wakeup of the tick thread.
     pub tick_wakeup: sync::Arc<tick_wakeup::Wakeup>,
     /// Sockets of the PostgreSQL connections in use.
@@ -66,6 +73,12 @@
     lock.write().unwrap_or_else(sync::PoisonError::into_inner)
 }
 
+/// Memory for what callers send; at least one message of the largest size fits.
+fn intake_bytes(settings: &config::Settings) -> usize {
+    let largest = intake::message_charge(settings.limits.message_bytes);
+    (settings.intake.memory_bytes / INTAKE_SHARE).max(2 * largest)
+}
+
 impl Runtime {
     /// Creates the runtime of a kernel. Calls to the platform go to the sender.
     pub fn new(
@@ -80,6 +93,8 @@
             pool: pool::Pool::default(),
             connector: pool::Connector::new(settings.source_address, settings.credentials.clone()),
             links: dialect.map(|dialect| links::Links::new(dialect, settings.source_address)),
+            intake: intake::Intake::new(intake_bytes(&settings)),
+            startups: sync::Arc::default(),
             settings,
             clock,
             metrics: telemetry::Metrics::default(),
@@ -294,6 +309,21 @@
         read_lock(&self.sessions).len()
     }
 
+    /// Opens an account at the intake for a session of the customer.
+    pub fn open_account(&self, customer: Option<&Name>) -> intake::Account {
+        let mut account = intake::Account::open(&self.intake);
+        if let Some(customer) = customer {
+            account.set_owner((&***customer).into());
+        }
+        account
+    }
+
+    /// Records that a session was ended since its caller took too much memory or time.
+    pub fn end_misused(&self, kind: &str) {
+        self.metrics.count_misuse(kind);
+        log::info!(target: "session", kind; "ended a session that took too much");
+    }
+
     fn disconnect(&self, instance: &Name) {
         if let Some(links) = &self.links {
             return links.disconnect(instance);
--- a/components/daemon/src/session.rs
+++ b/components/daemon/src/session.rs
@@ -5,17 +5,38 @@
 use errors::{Cause, Refusal};
 use kernel::event;
 
-use crate::{handle, requests, runtime};
+use crate::{handle, requests, runtime, startups};
 
 /// Accepts a caller and serves its session until the end.
 pub fn serve(
     runtime: &sync::Arc<runtime::Runtime>,
-    socket: net::TcpStream,
+    socket: sync::Arc<net::TcpStream>,
     tls: Option<&sync::Arc<rustls::ServerConfig>>,
+    starting: startups::Startup,
+) {
+    let Err(failure) = serve_session(runtime, socket, tls, starting) else {
+        return;
+    };
+    let kind = match &failure {
+        wire::Failure::Full => "memory",
+        wire::Failure::Slow => "slow",
+        wire::Failure::Unread => "unread",
+        _ => return log::debug!("session ended: {failure}"),
+    };
+    runtime.end_misused(kind);
+}
+
+fn serve_session(
+    runtime: &sync::Arc<runtime::Runtime>,
+    socket: sync::Arc<net::TcpStream>,
+    tls: Option<&sync::Arc<rustls::ServerConfig>>,
+    starting: startups::Startup,
 ) -> Result<(), wire::Failure> {
-    let limit = runtime.settings.limits.startup_timeout;
-    let control_socket = socket.try_clone().map_err(wire::Failure::from)?;
-    let (mut caller, hello) = wire::negotiate_startup(socket, tls, limit)?;
+    let limits = &runtime.settings.limits;
+    let (startup_timeout, send_timeout) =
+        (limits.startup_timeout, runtime.settings.intake.send_timeout);
+    let control_socket = socket.clone();
+    let (mut caller, hello) = wire::negotiate_startup(socket, tls, startup_timeout, send_timeout)?;
     let startup = match hello {
         wire::ConnectionRequest::Cancel(process, secret) => {
             runtime.cancel(process, secret);
@@ -23,22 +44,22 @@
         }
         wire::ConnectionRequest::Startup(startup) => startup,
     };
+    let key = read_key(runtime, &mut caller, &startup)?;
     if runtime.session_count() >= runtime.settings.limits.max_sessions {
         return wire::refuse_startup(&mut caller, &Refusal::new(Cause::NoCapacity, 1000));
     }
     let secret = random_secret(&control_socket);
-    let handle = sync::Arc::new(handle::Handle::new(
-        Some(sync::Arc::new(control_socket)),
-        secret,
-    ));
+    let handle = sync::Arc::new(handle::Handle::new(Some(control_socket), secret));
     let id = runtime.open_session(handle.clone());
+    drop(starting);
     if runtime.is_halted() {
         runtime.close_session(id);
         return Ok(());
     }
-    let result = admit(runtime, &mut caller, &startup, id, &handle);
+    let result = admit(runtime, &mut caller, &startup, key.as_deref(), id, &handle);
     let result = match result {
-        Ok(Some((session_route, key))) => {
+        Ok(Some(session_route)) => {
+            let key = key.unwrap_or_default();
             let mut session = requests::Session::new(runtime.clone(), caller, handle, id);
             session.run(&startup.database, &session_route, &key)
         }
@@ -49,24 +70,31 @@
     result
 }
 
-/// Reads the caller's key and opens the session at the kernel. Returns the kernel's
-/// answer and the key, or none if the caller was refused.
+/// Reads the caller's key; none on an open route.
+fn read_key(
+    runtime: &runtime::Runtime,
+    caller: &mut wire::Caller,
+    startup: &wire::Startup,
+) -> Result<Option<Vec<u8>>, wire::Failure> {
+    let fleet = runtime.fleet();
+    let route = fleet.routes.get(startup.database.as_str());
+    if route.is_some_and(|route| route.open) {
+        return Ok(None);
+    }
+    Ok(Some(wire::read_key(caller)?.to_vec()))
+}
+
+/// Opens the session at the kernel. Returns the kernel's answer, or none if the caller was
+/// refused.
 fn admit(
     runtime: &runtime::Runtime,
     caller: &mut wire::Caller,
     startup: &wire::Startup,
+    key: Option<&[u8]>,
     id: event::SessionId,
     handle: &handle::Handle,
-) -> Result<Option<(event::SessionRoute, Vec<u8>)>, wire::Failure> {
-    let fleet = runtime.fleet();
-    let route = fleet.routes.get(startup.database.as_str());
-    let is_open = route.is_some_and(|route| route.open);
-    let key = if is_open {
-        Vec::new()
-    } else {
-        wire::read_key(caller, runtime.settings.limits.startup_timeout)?.to_vec()
-    };
-    let digest = (!is_open).then(|| config::KeyDigest::of(&key));
+) -> Result<Option<event::SessionRoute>, wire::Failure> {
+    let digest = key.map(config::KeyDigest::of);
     runtime.handle_event(event::Event::SessionRequested(event::SessionRequest {
         session: id,
         digest,
@@ -83,7 +111,7 @@
     };
     let process = runtime.cancel_pid(id);
     wire::accept_session(caller, process, handle.secret, startup.token)?;
-    Ok(Some((session_route, key)))
+    Ok(Some(session_route))
 }
 
 /// Returns a secret that cannot be guessed, from the random keys of the standard
--- a/components/dialect/src/failure.rs
+++ b/components/dialect/src/failure.rs
@@ -15,6 +15,12 @@
     /// The caller sent no complete message within the time limit.
     #[display("the caller sent no message within the time limit")]
     TimedOut,
+    /// A message was not complete within the time limit.
+    #[display("the message was not complete within the time limit")]
+    Slow,
+    /// The daemon has no memory for the message.
+    #[display("no memory is free for the message")]
+    Full,
     /// A message violates the protocol or exceeds the size limit.
     #[display("a message violates the protocol or exceeds the size limit")]
     Malformed,
--- a/components/dialect/src/lib.rs
+++ b/components/dialect/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use call::{Call, Execution, Input, PreparedStatement, SessionValues, Startup, Statement};
 pub use failure::{CallerFailure, LinkFailure};
-pub use plugin::{Caller, Dialect, Link, Target, find};
+pub use plugin::{Caller, CallerLimits, Dialect, Link, Target, find};
 pub use reply::{Outcome, RefusalReason, Reply, StatusReply, TransactionState};
--- a/components/dialect/src/plugin.rs
+++ b/components/dialect/src/plugin.rs
@@ -19,6 +19,8 @@
         &mut self,
         limit: Option<time::Duration>,
     ) -> Result<call::Input, failure::CallerFailure>;
+    /// Charges the caller's messages to this customer from now on.
+    fn set_owner(&mut self, owner: intake::Owner);
     /// Socket of the connection, so that another thread can shut it down.
     fn socket(&self) -> sync::Arc<net::TcpStream>;
     /// Tells the caller that the session is open.
@@ -104,13 +106,29 @@
     pub timeout: time::Duration,
 }
 
+/// What a caller may take.
+#[derive(Debug)]
+pub struct CallerLimits {
+    /// Largest message, in bytes.
+    pub message_bytes: usize,
+    /// Time in which a message, once begun, must be complete.
+    pub receive_timeout: time::Duration,
+    /// Time for which the caller may leave an answer unread.
+    pub send_timeout: time::Duration,
+    /// Account to which the caller's messages are charged.
+    pub account: intake::Account,
+}
+
+/// Function that wraps an accepted socket of a caller.
+pub type AcceptFn =
+    fn(sync::Arc<net::TcpStream>, CallerLimits) -> Result<Box<dyn Caller>, failure::CallerFailure>;
+
 /// Protocol of callers and instances.
 pub struct Dialect {
     /// Name of the dialect in the settings.
     pub name: &'static str,
-    /// Wraps an accepted socket of a caller; the number is the size limit of a
-    /// message in bytes.
-    pub accept: fn(net::TcpStream, usize) -> Result<Box<dyn Caller>, failure::CallerFailure>,
+    /// Wraps an accepted socket of a caller.
+    pub accept: AcceptFn,
     /// Opens a connection to an instance.
     pub connect: fn(&Target) -> Result<Box<dyn Link>, failure::LinkFailure>,
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -40,6 +40,11 @@
     kind: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, encoding::EncodeLabelSet)]
+struct MisuseLabels {
+    kind: String,
+}
+
 type LatencyFamily =
     family::Family<RouteLabels, histogram::Histogram, fn() -> histogram::Histogram>;
 
@@ -49,6 +54,8 @@
     latency: LatencyFamily,
     requests: family::Family<RequestLabels, counter::Counter>,
     decisions: family::Family<DecisionLabels, counter::Counter>,
+    misuses: family::Family<MisuseLabels, counter::Counter>,
+    intake: gauge::Gauge,
     sessions: gauge::Gauge,
     waiting: gauge::Gauge,
     revision: gauge::Gauge,
@@ -75,6 +82,8 @@
             latency: family::Family::new_with_constructor(latency_histogram),
             requests: family::Family::default(),
             decisions: family::Family::default(),
+            misuses: family::Family::default(),
+            intake: gauge::Gauge::default(),
             sessions: gauge::Gauge::default(),
             waiting: gauge::Gauge::default(),
             revision: gauge::Gauge::default(),
@@ -95,6 +104,16 @@
         );
         registry.register("requests", "Requests by result", self.requests.clone());
         registry.register("decisions", "Decisions by kind", self.decisions.clone());
+        registry.register(
+            "misuses",
+            "Sessions and startups ended since they took too much, by kind",
+            self.misuses.clone(),
+        );
+        registry.register(
+            "intake_bytes",
+            "Memory charged for what callers send",
+            self.intake.clone(),
+        );
         registry.register("sessions", "Open sessions", self.sessions.clone());
         registry.register("waiting", "Requests that wait", self.waiting.clone());
         registry.register("revision", "Revision in force", self.revision.clone());
@@ -135,6 +154,17 @@
         self.decisions.get_or_create(&labels).inc();
     }
 
+    /// Counts a session or startup that was ended since it took too much.
+    pub fn count_misuse(&self, kind: &str) {
+        let labels = MisuseLabels { kind: kind.into() };
+        self.misuses.get_or_create(&labels).inc();
+    }
+
+    /// Records the memory that is charged for what callers send.
+    pub fn set_intake(&self, bytes: usize) {
+        self.intake.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Records the number of open sessions.
     pub fn set_sessions(&self, count: usize) {
         self.sessions.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/components/testbed/src/cluster.rs
+++ b/components/testbed/src/cluster.rs
@@ -178,6 +178,7 @@
             },
             tls: None,
             limits: self.plan.limits.clone(),
+            intake: config::Intake::default(),
             timing: self.plan.timing.clone(),
             policy: self.plan.policy.clone(),
             log_level: name("info")?,
--- a/components/wire/src/batch.rs
+++ b/components/wire/src/batch.rs
@@ -34,6 +34,7 @@
         caller: &mut framing::FramedStream,
         limit: usize,
     ) -> Result<Self, failure::Failure> {
+        caller.begin_batch();
         let mut frames = Vec::new();
         let mut remaining = limit;
         loop {
--- a/components/wire/src/caller.rs
+++ b/components/wire/src/caller.rs
@@ -21,8 +21,6 @@
 const CANCEL_REQUEST: u32 = 80_877_102;
 /// Maximum number of startup packets, encryption requests included.
 const MAX_STARTUP_PACKETS: usize = 3;
-/// Limit for one write to a caller that does not read its replies.
-const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
 /// Connection of a caller, plain or TLS.
 pub type Caller = framing::FramedStream;
@@ -50,21 +48,24 @@
 /// Reads the startup message or the cancel request. Sets up TLS if the caller
 /// asks for TLS and `tls` is set; refuses other encryption requests.
 pub fn negotiate_startup(
-    socket: net::TcpStream,
+    socket: sync::Arc<net::TcpStream>,
     tls: Option<&sync::Arc<rustls::ServerConfig>>,
     timeout: time::Duration,
+    send_timeout: time::Duration,
 ) -> Result<(Caller, ConnectionRequest), failure::Failure> {
     socket.set_nodelay(true)?;
-    socket.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    socket.set_write_timeout(Some(send_timeout))?;
     let deadline = time::Instant::now() + timeout;
-    let mut caller = framing::FramedStream::new(Box::new(socket));
+    let shared = framing::SharedSocket(socket);
+    let mut caller = framing::FramedStream::new(Box::new(shared.clone()));
+    caller.set_deadline(Some(deadline));
     let mut is_encrypted = false;
     for _ in 0..MAX_STARTUP_PACKETS {
-        let body = read_startup_packet(&mut caller, deadline)?;
+        let body = read_startup_packet(&mut caller)?;
         let code = (&body[..4]).get_u32();
         match code {
             SSL_REQUEST if !is_encrypted && tls.is_some() => {
-                caller = accept_tls(caller, tls)?;
+                caller = accept_tls(caller, shared.clone(), tls, deadline)?;
                 is_encrypted = true;
             }
             SSL_REQUEST | GSS_REQUEST => {
@@ -78,47 +79,62 @@
     Err(failure::Failure::Malformed)
 }
 
-fn read_startup_packet(
-    caller: &mut Caller,
-    deadline: time::Instant,
-) -> Result<BytesMut, failure::Failure> {
-    let length = read_by_deadline(caller, 4, deadline)?.get_u32();
+fn read_startup_packet(caller: &mut Caller) -> Result<BytesMut, failure::Failure> {
+    let length = caller.read_exact(4)?.get_u32();
     let size = usize::try_from(length).unwrap_or(usize::MAX);
     if size > MAX_STARTUP_BYTES {
         return Err(failure::Failure::TooLarge(u64::from(length)));
     }
     let body = size.checked_sub(4).filter(|size| *size >= 4);
     let body = body.ok_or(failure::Failure::Malformed)?;
-    read_by_deadline(caller, body, deadline)
-}
-
-/// Reads exactly `count` bytes. The read timeout is the time left until
-/// `deadline`, which all packets of the startup share, to bound the startup of a
-/// caller that sends slowly.
-fn read_by_deadline(
-    caller: &mut Caller,
-    count: usize,
-    deadline: time::Instant,
-) -> Result<BytesMut, failure::Failure> {
-    let remaining = deadline.saturating_duration_since(time::Instant::now());
-    if remaining.is_zero() {
-        return Err(failure::Failure::Io(std::io::ErrorKind::TimedOut));
-    }
-    caller.set_read_timeout(Some(remaining))?;
-    caller.read_exact(count)
+    caller.read_exact(body)
 }
 
 fn accept_tls(
     caller: Caller,
+    mut socket: framing::SharedSocket,
     tls: Option<&sync::Arc<rustls::ServerConfig>>,
+    deadline: time::Instant,
 ) -> Result<Caller, failure::Failure> {
     let config = tls.ok_or(failure::Failure::Tls)?.clone();
     let mut stream = caller.into_stream()?;
     stream.write_all(b"S")?;
-    let socket = stream.socket().try_clone()?;
-    let session = rustls::ServerConnection::new(config).map_err(|_| failure::Failure::Tls)?;
+    let mut session = rustls::ServerConnection::new(config).map_err(|_| failure::Failure::Tls)?;
+    shake_hands(&mut session, &mut socket, deadline)?;
     let stream = rustls::StreamOwned::new(session, socket);
-    Ok(framing::FramedStream::new(Box::new(stream)))
+    let mut caller = framing::FramedStream::new(Box::new(stream));
+    caller.set_deadline(Some(deadline));
+    Ok(caller)
+}
+
+/// Completes the TLS handshake by the deadline.
+fn shake_hands(
+    session: &mut rustls::ServerConnection,
+    socket: &mut framing::SharedSocket,
+    deadline: time::Instant,
+) -> Result<(), failure::Failure> {
+    while session.is_handshaking() {
+        while session.wants_write() {
+            session.write_tls(socket)?;
+        }
+        if !session.is_handshaking() {
+            break;
+        }
+        let left = deadline.saturating_duration_since(time::Instant::now());
+        if left.is_zero() {
+            return Err(failure::Failure::Slow);
+        }
+        socket.0.set_read_timeout(Some(left))?;
+        if session.read_tls(socket)? == 0 {
+            return Err(failure::Failure::Closed);
+        }
+        let processed = session.process_new_packets();
+        processed.map_err(|_| failure::Failure::Tls)?;
+    }
+    while session.wants_write() {
+        session.write_tls(socket)?;
+    }
+    Ok(())
 }
 
 fn parse_cancel(body: &[u8]) -> Result<ConnectionRequest, failure::Failure> {
@@ -165,11 +181,10 @@
 }
 
 /// Requests the caller's key as a cleartext password and reads the key.
-pub fn read_key(caller: &mut Caller, timeout: time::Duration) -> Result<Bytes, failure::Failure> {
+pub fn read_key(caller: &mut Caller) -> Result<Bytes, failure::Failure> {
     let request = messages::startup::Authentication::CleartextPassword;
     reply::put(&mut caller.output, &request);
     caller.flush()?;
-    caller.set_read_timeout(Some(timeout))?;
     let frame = caller.read_frame(MAX_PASSWORD_BYTES)?;
     if frame.tag != b'p' {
         return Err(failure::Failure::Malformed);
@@ -217,5 +232,6 @@
     );
     reply::put_ready(out, reply::TransactionStatus::Idle);
     caller.flush()?;
+    caller.set_deadline(None);
     caller.set_read_timeout(None)
 }
--- a/components/wire/src/failure.rs
+++ b/components/wire/src/failure.rs
@@ -16,6 +16,15 @@
     /// A message exceeds a size limit: bytes.
     #[display("a message exceeds the size limit: {_0} bytes")]
     TooLarge(#[error(not(source))] u64),
+    /// A message was not complete within the time limit.
+    #[display("the message was not complete within the time limit")]
+    Slow,
+    /// The remote side left what was sent to it unread for too long.
+    #[display("the remote side does not read")]
+    Unread,
+    /// The daemon has no memory for the message.
+    #[display("no memory is free for the message")]
+    Full,
     /// A message violates the protocol.
     #[display("a message violates the protocol")]
     Malformed,
--- a/components/wire/src/framing.rs
+++ b/components/wire/src/framing.rs
@@ -1,6 +1,6 @@
 //! Protocol messages as frames over a buffered, blocking stream.
 
-use std::{io, net, thread, time};
+use std::{io, net, sync, thread, time};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
@@ -15,6 +15,8 @@
 const IDLE_BUFFER_BYTES: usize = 16 * 1024;
 /// Poll period for the input of a connection that is being closed.
 const DRAIN_POLL_PERIOD: time::Duration = time::Duration::from_millis(10);
+/// Memory of a decoded frame besides its body, in bytes.
+const FRAME_BYTES: usize = 64;
 /// Size of a frame's tag and length, in bytes.
 const HEADER_BYTES: usize = 5;
 
@@ -30,9 +32,35 @@
     }
 }
 
-impl Stream for rustls::StreamOwned<rustls::ServerConnection, net::TcpStream> {
+/// Socket that other threads may shut down.
+#[derive(Clone)]
+pub struct SharedSocket(pub sync::Arc<net::TcpStream>);
+
+impl io::Read for SharedSocket {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        (&*self.0).read(buffer)
+    }
+}
+
+impl io::Write for SharedSocket {
+    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+        (&*self.0).write(buffer)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        (&*self.0).flush()
+    }
+}
+
+impl Stream for SharedSocket {
+    fn socket(&self) -> &net::TcpStream {
+        &self.0
+    }
+}
+
+impl Stream for rustls::StreamOwned<rustls::ServerConnection, SharedSocket> {
     fn socket(&self) -> &net::TcpStream {
-        self.get_ref()
+        self.get_ref().socket()
     }
 }
 
@@ -60,9 +88,20 @@
     out.put_slice(body);
 }
 
+/// Memory and time that a caller may take for the messages of one batch.
+struct Meter {
+    account: intake::Account,
+    receive_timeout: time::Duration,
+    /// Size of the messages of the batch so far, in bytes.
+    batch_bytes: usize,
+}
+
 /// Stream that reads and writes frames through an input and an output buffer.
 pub struct FramedStream {
     read_timeout: Option<time::Duration>,
+    /// Time by which the message that is being read must be complete.
+    deadline: Option<time::Instant>,
+    meter: Option<Meter>,
     stream: Box<dyn Stream>,
     input: BytesMut,
     /// Bytes to send with the next flush.
@@ -74,6 +113,8 @@
     pub fn new(stream: Box<dyn Stream>) -> Self {
         Self {
             read_timeout: None,
+            deadline: None,
+            meter: None,
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -112,8 +153,79 @@
         !self.input.is_empty()
     }
 
+    /// Sets the time by which the next messages must be complete; with none, only a
+    /// message that has begun has a time limit.
+    pub fn set_deadline(&mut self, deadline: Option<time::Instant>) {
+        self.deadline = deadline;
+    }
+
+    /// Charges the messages that are read to the account, and limits the time of each
+    /// batch once it has begun.
+    pub fn set_meter(&mut self, account: intake::Account, receive_timeout: time::Duration) {
+        self.meter = Some(Meter {
+            account,
+            receive_timeout,
+            batch_bytes: 0,
+        });
+    }
+
+    /// Frees what the messages of the last batch have taken.
+    pub(crate) fn begin_batch(&mut self) {
+        self.deadline = None;
+        if self.input.capacity() > IDLE_BUFFER_BYTES && self.input.len() <= READ_BYTES {
+            self.input = BytesMut::from(&self.input[..]);
+        }
+        if let Some(meter) = &mut self.meter {
+            meter.batch_bytes = 0;
+            meter.account.lower_message(0);
+        }
+    }
+
+    /// Starts the time limit of a batch.
+    fn start_timing(&mut self) {
+        if let Some(meter) = &self.meter {
+            let deadline = time::Instant::now() + meter.receive_timeout;
+            self.deadline.get_or_insert(deadline);
+        }
+    }
+
+    /// Charges the next message, whose body has this size.
+    fn charge(&mut self, size: usize) -> Result<(), failure::Failure> {
+        let Some(meter) = &mut self.meter else {
+            return Ok(());
+        };
+        meter.batch_bytes += size + FRAME_BYTES;
+        let bytes = intake::message_charge(meter.batch_bytes);
+        if bytes == 0 {
+            return Ok(());
+        }
+        self.start_timing();
+        let deadline = self.deadline.unwrap_or_else(time::Instant::now);
+        let is_charged = match &mut self.meter {
+            Some(meter) => meter.account.raise_message(bytes, deadline),
+            None => true,
+        };
+        is_charged.then_some(()).ok_or(failure::Failure::Full)
+    }
+
+    /// Limits the next read to the time that is left for the message.
+    fn limit_read(&mut self) -> Result<(), failure::Failure> {
+        if !self.input.is_empty() {
+            self.start_timing();
+        }
+        let Some(deadline) = self.deadline else {
+            return Ok(());
+        };
+        let left = deadline.saturating_duration_since(time::Instant::now());
+        if left.is_zero() {
+            return Err(failure::Failure::Slow);
+        }
+        self.set_read_timeout(Some(left))
+    }
+
     fn fill_input(&mut self, min_size: usize) -> Result<(), failure::Failure> {
         while self.input.len() < min_size {
+            self.limit_read()?;
             let start = self.input.len();
             let size = (min_size - start).clamp(READ_BYTES, 8 * READ_BYTES);
             self.input.resize(start + size, 0);
@@ -122,10 +234,12 @@
             self.input.truncate(start + count);
             match read {
                 Ok(0) => return Err(failure::Failure::Closed),
-                Err(error) if error.kind() != io::ErrorKind::Interrupted => {
-                    return Err(error.into());
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if self.deadline.is_some() && is_timeout(&error) => {
+                    return Err(failure::Failure::Slow);
                 }
-                _ => {}
+                Err(error) => return Err(error.into()),
+                Ok(_) => {}
             }
         }
         Ok(())
@@ -155,8 +269,15 @@
         if size > limit {
             return Err(failure::Failure::TooLarge(length));
         }
+        self.charge(size)?;
+        self.input
+            .reserve((HEADER_BYTES + size).saturating_sub(self.input.len()));
         self.fill_input(HEADER_BYTES + size)?;
         self.input.advance(HEADER_BYTES);
+        if self.meter.is_some() {
+            // The rest of the batch shares the time limit.
+            self.start_timing();
+        }
         let body = self.input.split_to(size).freeze();
         Ok(Frame { tag, body })
     }
@@ -183,8 +304,13 @@
 
     /// Sends the output buffer.
     pub fn flush(&mut self) -> Result<(), failure::Failure> {
-        self.stream.write_all(&self.output)?;
-        self.stream.flush()?;
+        let written = self.stream.write_all(&self.output);
+        written
+            .and_then(|()| self.stream.flush())
+            .map_err(|error| match is_timeout(&error) {
+                true => failure::Failure::Unread,
+                false => error.into(),
+            })?;
         self.output.clear();
         self.shrink_buffers();
         Ok(())
@@ -203,6 +329,7 @@
             }
         }
         self.output.clear();
+        self.shrink_buffers();
         Ok(())
     }
 
@@ -240,6 +367,13 @@
     }
 }
 
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
+
 /// Which side failed while a frame was forwarded.
 #[derive(Debug)]
 pub enum ForwardError {
--- a/components/wire/src/statements.rs
+++ b/components/wire/src/statements.rs
@@ -18,6 +18,9 @@
 /// other connections; the oldest are dropped first.
 const MAX_SETTINGS: usize = 64;
 
+/// Memory of a kept text or name besides its bytes.
+const ENTRY_BYTES: usize = 256;
+
 /// Body of a ParameterDescription without parameters.
 const NO_PARAMETERS: &[u8] = &[0, 0];
 
@@ -68,6 +71,8 @@
 /// State that a session keeps across database connections.
 #[derive(Debug, Default)]
 pub struct SessionStatements {
+    /// Account to which the texts and names are charged.
+    account: Option<intake::Account>,
     prepared: collections::HashMap<Bytes, sync::Arc<Statement>>,
     /// Portals of `DEALLOCATE` statements, which no database knows.
     portals: collections::HashMap<Bytes, deallocate::Target>,
@@ -90,6 +95,31 @@
 }
 
 impl SessionStatements {
+    /// Charges the texts and names that the session keeps to the account.
+    pub fn set_account(&mut self, account: intake::Account) {
+        self.account = Some(account);
+    }
+
+    fn keep(&mut self, bytes: usize) -> Result<(), PlanError> {
+        let account = self.account.as_mut();
+        let is_kept = account.is_none_or(|account| account.keep(bytes));
+        is_kept.then_some(()).ok_or(Cause::NoCapacity.into())
+    }
+
+    fn drop_kept(&mut self, bytes: usize) {
+        if let Some(account) = &mut self.account {
+            account.drop_kept(bytes);
+        }
+    }
+
+    fn remove_prepared(&mut self, name: &Bytes) -> bool {
+        let removed = self.prepared.remove(name);
+        if let Some(statement) = &removed {
+            self.drop_kept(kept_bytes(name, statement));
+        }
+        removed.is_some()
+    }
+
     /// Statements that set the session's parameters on another connection.
     pub fn settings(&self) -> &[String] {
         &self.settings
@@ -97,14 +127,18 @@
 
     /// Saves the statements of a batch that set parameters.
     pub fn save_settings(&mut self, plan: &Plan) {
+        let mut dropped = 0;
         if plan.discards_settings {
+            dropped += total_bytes(&self.settings);
             self.settings.clear();
         }
         self.settings.extend(plan.settings.iter().cloned());
         if self.settings.len() > MAX_SETTINGS {
             let excess = self.settings.len() - MAX_SETTINGS;
+            dropped += total_bytes(&self.settings[..excess]);
             self.settings.drain(..excess);
         }
+        self.drop_kept(dropped);
     }
 
     /// Converts a batch to a plan.
@@ -128,6 +162,7 @@
             };
             plan.steps.push(step);
         }
+        self.keep(total_bytes(&plan.settings))?;
         Ok(plan)
     }
 
@@ -158,12 +193,19 @@
         if self.prepared.len() >= MAX_STATEMENTS && !self.prepared.contains_key(&name) {
             return Err(Cause::NoCapacity.into());
         }
+        // Copies, since a slice would keep the whole input buffer.
+        let (name, definition) = (
+            Bytes::copy_from_slice(&name),
+            Bytes::copy_from_slice(&definition),
+        );
         let statement = sync::Arc::new(Statement {
             name: statement_name(&definition),
             definition,
             class,
             sql,
         });
+        self.remove_prepared(&name);
+        self.keep(kept_bytes(&name, &statement))?;
         self.prepared.insert(name, statement.clone());
         if class == classify::StatementClass::Deallocate {
             return Ok(Step::Local(b'1', b""));
@@ -178,10 +220,13 @@
         let Some(statement) = self.prepared.get(&name) else {
             return Ok(Step::Send(frame.clone()));
         };
-        self.portals.remove(&portal);
+        let statement = statement.clone();
+        self.remove_portal(&portal);
         if statement.class == classify::StatementClass::Deallocate
             && let Some(target) = deallocate::Target::parse(&statement.sql)
         {
+            let portal = Bytes::copy_from_slice(&portal);
+            self.keep(portal_bytes(&portal, &target))?;
             self.portals.insert(portal, target);
             return Ok(Step::Local(b'2', b""));
         }
@@ -204,7 +249,7 @@
         }
         let (name, rest) = split_cstr(&frame.body.slice(1..))?;
         if frame.tag == b'C' {
-            self.prepared.remove(&name);
+            self.remove_prepared(&name);
             return Ok(Step::Local(b'3', b""));
         }
         let Some(statement) = self.prepared.get(&name) else {
@@ -221,6 +266,12 @@
 }
 
 impl SessionStatements {
+    fn remove_portal(&mut self, portal: &Bytes) {
+        if let Some(target) = self.portals.remove(portal) {
+            self.drop_kept(portal_bytes(portal, &target));
+        }
+    }
+
     /// Plans a Describe or Close of a portal. The proxy answers for a portal of a
     /// `DEALLOCATE`, which no database knows.
     fn plan_portal_reference(&mut self, frame: framing::Frame) -> Result<Step, PlanError> {
@@ -229,7 +280,7 @@
             return Ok(Step::Send(frame));
         }
         if frame.tag == b'C' {
-            self.portals.remove(&portal);
+            self.remove_portal(&portal);
             return Ok(Step::Local(b'3', b""));
         }
         Ok(Step::Local(b'n', b""))
@@ -246,9 +297,14 @@
     /// Drops prepared statements of the session and returns the reply.
     fn apply_deallocate(&mut self, target: &deallocate::Target) -> Result<Step, PlanError> {
         match target {
-            deallocate::Target::All => self.prepared.retain(|name, _| name.is_empty()),
+            deallocate::Target::All => {
+                let names: Vec<_> = self.prepared.keys().cloned().collect();
+                for name in names.iter().filter(|name| !name.is_empty()) {
+                    self.remove_prepared(name);
+                }
+            }
             deallocate::Target::Name(name) => {
-                if self.prepared.remove(name).is_none() {
+                if !self.remove_prepared(name) {
                     return Err(Cause::StatementUnknown.into());
                 }
             }
@@ -272,6 +328,24 @@
     }
 }
 
+/// Bytes that a prepared statement of a session takes.
+fn kept_bytes(name: &Bytes, statement: &Statement) -> usize {
+    name.len() + statement.definition.len() + statement.sql.len() + ENTRY_BYTES
+}
+
+/// Bytes that a portal of a `DEALLOCATE` takes.
+fn portal_bytes(portal: &Bytes, target: &deallocate::Target) -> usize {
+    let name = match target {
+        deallocate::Target::All => 0,
+        deallocate::Target::Name(name) => name.len(),
+    };
+    portal.len() + name + ENTRY_BYTES
+}
+
+fn total_bytes(settings: &[String]) -> usize {
+    settings.iter().map(|text| text.len() + ENTRY_BYTES).sum()
+}
+
 fn record_statement(
     plan: &mut Plan,
     class: classify::StatementClass,
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -32,14 +32,14 @@
 }
 
 mod line {
-    tests!(Line: large_messages messages_in_pieces unfinished_messages oversized_messages
+    tests!(Line: largest_legal_client large_messages messages_in_pieces unfinished_messages oversized_messages
         oversized_startups requests_sent_ahead unread_answers slow_senders slow_readers
         silent_connections unfinished_startups unfinished_headers unfinished_transactions
         connections_left sessions_over_the_limit prepared_names session_values);
 }
 
 mod postgres_protocol {
-    tests!(Postgres: large_messages messages_in_pieces unfinished_messages oversized_messages
+    tests!(Postgres: largest_legal_client large_messages messages_in_pieces unfinished_messages oversized_messages
         oversized_startups requests_sent_ahead unread_answers slow_senders slow_readers
         silent_connections unfinished_startups unfinished_handshakes unfinished_headers
         unfinished_transactions connections_left sessions_over_the_limit prepared_names
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -52,6 +52,24 @@
     target.check_left();
 }
 
+/// The largest legal messages, in the longest legal transaction, in calm.
+pub fn largest_legal_client(target: Target) {
+    // The message has a few bytes besides the text.
+    let request = target.request((1 << 20) - 64);
+    let [begin, _] = target.transaction();
+    let mut caller = target.join().expect("a session");
+    let mut run = |bytes: &[u8]| {
+        caller.write_all(bytes).expect("an open connection");
+        target.read_complete(&mut caller).expect("an answer")
+    };
+    assert!(run(&begin), "the transaction begins");
+    for _ in 0..10 {
+        assert!(run(&request), "a large statement succeeds");
+    }
+    assert!(run(&target.commit()), "the transaction commits");
+    end(target, vec![caller]);
+}
+
 /// Complete large messages, all at once; the answers are read.
 pub fn large_messages(target: Target) {
     let request = target.request(LARGE_BYTES);
--- a/tests/clients/target.rs
+++ b/tests/clients/target.rs
@@ -19,8 +19,10 @@
 /// Limits of the tests, lower than in service.
 fn limits() -> String {
     format!(
-        "limits: {{sessions: {}, startup: 3s, idle: 2s, wait: 3s}}\n",
-        daemon::SESSIONS
+        "limits: {{sessions: {}, memory: {}, startup: 3s, receive: 3s, send: 3s, idle: 2s, \
+         wait: 3s}}\n",
+        daemon::SESSIONS,
+        daemon::MEMORY_BYTES >> 20
     )
 }
 
@@ -174,6 +176,24 @@
         }
     }
 
+    /// Statement that ends a transaction.
+    pub fn commit(&self) -> Vec<u8> {
+        match self.dialect {
+            Dialect::Line => b"QUERY q3 COMMIT\r\n".to_vec(),
+            Dialect::Postgres => frame(b'Q', b"COMMIT\0"),
+        }
+    }
+
+    /// Reads the answer to a statement in a transaction; returns whether it succeeded.
+    pub fn read_complete(&self, caller: &mut net::TcpStream) -> io::Result<bool> {
+        let (ready, error): (&[u8], &[u8]) = match self.dialect {
+            Dialect::Line => (b"\r\nREADY ", b"ERROR"),
+            Dialect::Postgres => (&[b'Z', 0, 0, 0, 5], b"SERROR"),
+        };
+        let answer = read_until(caller, ready)?;
+        Ok(!answer.windows(error.len()).any(|part| part == error))
+    }
+
     /// Request that keeps `size` bytes under a name of the session.
     pub fn preparation(&self, number: usize, size: usize) -> Vec<u8> {
         let text = "a".repeat(size);
@@ -204,7 +224,8 @@
         }
     }
 
-    fn read_success(&self, caller: &mut net::TcpStream) -> io::Result<bool> {
+    /// Reads an answer; returns whether the request succeeded.
+    pub fn read_success(&self, caller: &mut net::TcpStream) -> io::Result<bool> {
         let ready: &[u8] = match self.dialect {
             Dialect::Line => b"READY I",
             Dialect::Postgres => &[b'Z', 0, 0, 0, 5, b'I'],
