Keep reads waiting in their homes while an instance has no room

A read whose only allowed instance was backing off or busy was refused as outside of its homes, where a read without homes waits. The check now asks which instances take reads, not which have room; unreachable ones do not count. Writes without a known leader are refused also if the allowed instances are evacuated.

--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -98,26 +98,39 @@
         since.is_some_and(|since| self.now.since(since) >= limit)
     }
 
+    /// Instances that take reads, whether or not they have room now.
+    pub(crate) fn open_instances<'a>(
+        &'a self,
+        state: &'a daemon::GroupState,
+    ) -> impl Iterator<Item = (&'a Name, &'a group::InstanceState)> {
+        let is_confirmed = state.group.confirmation(self.now).is_some();
+        let is_draining = state.promotion.is_draining(self.now);
+        let primary = state.group.primary();
+        state
+            .group
+            .instances
+            .iter()
+            .filter(move |(name, instance)| {
+                let is_primary = primary == Some(*name);
+                let is_closed = if is_primary {
+                    !is_confirmed || is_draining || self.has_drain_expired(instance)
+                } else {
+                    instance.leaving
+                };
+                !is_closed && !instance.is_evacuated(is_primary, self.now)
+            })
+    }
+
     pub(crate) fn read_candidates(
         &self,
         state: &daemon::GroupState,
     ) -> Vec<read_policy::Candidate> {
-        let confirmation = state.group.confirmation(self.now);
-        let primary = state.group.primary();
         let mut all = Vec::with_capacity(state.group.instances.len());
-        for (name, instance) in &state.group.instances {
-            let is_primary = primary == Some(name);
-            let is_draining = state.promotion.is_draining(self.now);
-            let is_drained = self.has_drain_expired(instance);
-            let is_closed = if is_primary {
-                confirmation.is_none() || is_draining || is_drained
-            } else {
-                instance.leaving
-            };
-            let is_closed = is_closed || instance.is_evacuated(is_primary, self.now);
+        for (name, instance) in self.open_instances(state) {
+            let is_primary = state.group.primary() == Some(name);
             let is_paused = state.group.is_backing_off(name, self.now)
                 || state.group.is_shedding(name, self.now);
-            if is_closed || is_paused {
+            if is_paused {
                 continue;
             }
             let (free, busy) = self.free_and_busy(name);
--- a/components/kernel/src/homes.rs
+++ b/components/kernel/src/homes.rs
@@ -141,13 +141,14 @@
                 Some(confirmed) => bounds.allow(&confirmed.primary),
                 None => {
                     let staying = state.group.instances.iter();
-                    let mut staying = staying.filter(|(_, instance)| !instance.leaving);
+                    let mut staying = staying.filter(|(_, instance)| !instance.is_withdrawn());
                     staying.any(|(name, _)| bounds.allow(name))
                 }
             }
         } else {
-            let mut usable = self.read_candidates(state).into_iter();
-            usable.any(|candidate| bounds.allow(&candidate.name))
+            // Reads wait for an instance that has no room for the moment.
+            let mut usable = self.open_instances(state);
+            usable.any(|(name, _)| bounds.allow(name) && !state.group.is_unreachable(name))
         };
         if is_possible {
             Ok(())
