Mend what the review of admission and promotions found

By reading, two reviewers who had not written the parts found: a planned replacement took an instance of an abandoned branch for ready, since its log is longer; an answer to a pause of an earlier term counted; with no old leader and all replicas confirmed, the wait for a better branch waited for nobody; a request was refused at once although a connection was free, because requests that wait for something else counted, and without measurements of the instance the pace alone refused; a statement without a warm-up token made its instance count as full; a cold period that the instance does not state ended with the next view.

Tests: candidates (planned replacement beside an abandoned branch), overload (free connection, no measurement). The others have no test of their own.

--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -326,7 +326,7 @@
             return self.discard(links, connection, event::RequestOutcome::ConnectionLost);
         }
         if !self.may_send(&connection) {
-            let outcome = event::RequestOutcome::TooManyConnections;
+            let outcome = event::RequestOutcome::Uncommitted;
             return self.discard(links, connection, outcome);
         }
         let (limit, _) = self.statement_limits();
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -96,7 +96,7 @@
         connection.valid_until = self.key_valid_until();
         let deadline = std_time::Instant::now() + self.runtime.settings.limits.wait_timeout;
         if !self.await_permission(&connection, deadline) {
-            let outcome = event::RequestOutcome::TooManyConnections;
+            let outcome = event::RequestOutcome::Uncommitted;
             self.discard(links, connection, outcome);
             return self.fail(Some(planned.call), &Refusal::new(Cause::TransactionLost, 0));
         }
@@ -243,7 +243,7 @@
         connection.valid_until = self.key_valid_until();
         let deadline = start + self.runtime.settings.limits.wait_timeout;
         if !self.await_permission(&connection, deadline) {
-            let outcome = event::RequestOutcome::TooManyConnections;
+            let outcome = event::RequestOutcome::Uncommitted;
             self.discard(links, connection, outcome);
             self.record_outcome(telemetry::Outcome::Refused, start.elapsed());
             return self.refuse(Some(call), &Refusal::new(Cause::TransactionLost, 0));
--- a/components/kernel/src/admission/fair.rs
+++ b/components/kernel/src/admission/fair.rs
@@ -80,6 +80,9 @@
         next: Place,
         ready: &mut dyn FnMut(&WaitingRequest) -> bool,
     ) -> Option<Place> {
+        if next.priority == 0 {
+            return None;
+        }
         let ticket = self.queues.get(&self.rotation[next.position])?.ticket;
         let mut best: Option<Place> = None;
         for (position, customer) in self.rotation.iter().enumerate().skip(next.position + 1) {
--- a/components/kernel/src/capacity.rs
+++ b/components/kernel/src/capacity.rs
@@ -10,7 +10,7 @@
 use config::Name;
 use errors::{Cause, Refusal};
 
-use crate::{admission, daemon, event, group, overload, time};
+use crate::{admission, daemon, event, overload, time};
 
 /// Time after its time to return in which a refused session keeps its place.
 const RETURN_TIME: std_time::Duration = std_time::Duration::from_secs(2);
@@ -26,7 +26,7 @@
     ) -> Option<std_time::Duration> {
         let state = self.groups.get(group).filter(|_| self.ranks_routes)?;
         let (queue, servers) = match access {
-            event::Access::Read => (&state.read_queue, self.read_servers(&state.group)),
+            event::Access::Read => (&state.read_queue, self.read_servers(state)),
             event::Access::Write => {
                 let primary = state.group.primary()?;
                 (&state.write_queue, vec![self.server(primary)])
@@ -41,12 +41,10 @@
         overload::expected_wait(&ahead, &servers)
     }
 
-    fn read_servers(&self, group: &group::Group) -> Vec<overload::Server> {
-        let instances = group.instances.iter();
-        instances
-            .filter(|(name, instance)| !instance.leaving && !group.is_unreachable(name))
-            .map(|(name, _)| self.server(name))
-            .collect()
+    fn read_servers(&self, state: &daemon::GroupState) -> Vec<overload::Server> {
+        let open = self.open_instances(state);
+        let open = open.filter(|(name, _)| !state.group.is_unreachable(name));
+        open.map(|(name, _)| self.server(name)).collect()
     }
 
     fn server(&self, instance: &Name) -> overload::Server {
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -242,11 +242,15 @@
             stage: Stage::Pausing {
                 requests, paused, ..
             },
+            term,
             ..
         }) = &mut self.attempt
         else {
             return;
         };
+        if fence.term != term.next() {
+            return;
+        }
         if let Some(status) = fence.status.filter(|_| fence.accepted) {
             let position = position::Position {
                 term: status.term,
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -174,11 +174,12 @@
         else {
             continue;
         };
-        if target.is_some_and(|target| status.received >= target) {
-            let position = position::Position {
-                term: status.term,
-                lsn: status.received,
-            };
+        let position = position::Position {
+            term: status.term,
+            lsn: status.received,
+        };
+        let has_all = target.is_some_and(|target| status.received >= target);
+        if has_all && !is_abandoned(position, context) {
             ready.push_back((name.clone(), position));
         }
     }
@@ -349,7 +350,9 @@
             None => poll_instances(attempt, context, vec![old_leader], out),
         }
     }
-    if abandoned.is_some() && waited < BRANCH_TIMEOUT && !is_last_chance {
+    // Without an old leader, no other instance can answer once all have confirmed.
+    let may_improve = !is_complete || attempt.old_leader.is_some();
+    if abandoned.is_some() && may_improve && waited < BRANCH_TIMEOUT && !is_last_chance {
         return Stage::Pausing {
             since,
             requests,
--- a/components/kernel/src/overload.rs
+++ b/components/kernel/src/overload.rs
@@ -124,16 +124,17 @@
 /// Expected wait of a request; none if unknown. The requests of the customer are served at
 /// the pace of late, and all requests at the pace of the instances, whichever is slower.
 pub fn expected_wait(ahead: &Ahead, servers: &[Server]) -> Option<std_time::Duration> {
-    let free: u32 = servers.iter().map(|server| server.free).sum();
-    let total = u32::try_from(ahead.total).unwrap_or(u32::MAX);
-    if total < free {
+    // Requests that wait beside a free connection wait for something else than capacity.
+    if servers.iter().any(|server| server.free > 0) {
         return Some(std_time::Duration::ZERO);
     }
+    let total = u32::try_from(ahead.total).unwrap_or(u32::MAX);
     let own = u32::try_from(ahead.own).unwrap_or(u32::MAX);
     let by_pace = ahead
         .gap
         .map(|gap| gap.saturating_mul(own.saturating_add(1)));
-    by_pace.max(wait_for_servers(total - free, servers))
+    let by_servers = wait_for_servers(total, servers)?;
+    Some(by_pace.map_or(by_servers, |by_pace| by_pace.max(by_servers)))
 }
 
 fn wait_for_servers(before: u32, servers: &[Server]) -> Option<std_time::Duration> {
--- a/components/kernel/src/warmup.rs
+++ b/components/kernel/src/warmup.rs
@@ -136,7 +136,9 @@
             let until = now + std_time::Duration::from_millis(left_ms);
             let process = self.processes.entry(name.clone()).or_default();
             if is_same {
-                process.started_until = process.started_until.min(until);
+                if entry.warmup_ms.is_some() {
+                    process.started_until = process.started_until.min(until);
+                }
             } else {
                 process.born = entry.born;
                 process.started_until = until;
--- a/components/kernel/tests/candidates.rs
+++ b/components/kernel/tests/candidates.rs
@@ -128,6 +128,28 @@
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
+/// Guards against a planned replacement by an instance whose log is longer only because of
+/// commits that were rolled back.
+#[test]
+fn a_planned_replacement_leaves_an_abandoned_branch_alone() {
+    let mut sim = Simulation::new(&Options::default());
+    sim.write_for(500);
+    sim.instances[0].is_alive = false;
+    sim.write_for(3000);
+    let leader = sim.leader().expect("an instance leads");
+    let other = 3 - leader;
+    sim.instances[0].is_alive = true;
+    sim.instances[0].role = position::Role::Replica;
+    sim.instances[0].replication_cut = true;
+    sim.instances[0].received = sim.instances[leader].received + 500;
+    sim.instances[leader].is_leaving = true;
+    sim.promotion_orders.clear();
+    sim.write_for(3000);
+    let promoted: Vec<_> = sim.promotion_orders.iter().map(|(_, i)| *i).collect();
+    assert_eq!(promoted, [other], "{:?}", sim.decisions);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
 /// Guards against a service that stays without a leader because only an instance of an
 /// abandoned branch is left.
 #[test]
--- a/components/kernel/tests/overload.rs
+++ b/components/kernel/tests/overload.rs
@@ -324,6 +324,19 @@
         gap: None,
     };
     assert_eq!(overload::expected_wait(&ahead, &[server]), None);
+    let paced = overload::Ahead {
+        gap: Some(LIMIT),
+        ..ahead
+    };
+    assert_eq!(overload::expected_wait(&paced, &[server]), None);
+    // Requests that wait beside a free connection wait for something else.
+    let free = overload::Server {
+        free: 1,
+        hold: Some(LIMIT),
+        ..server
+    };
+    let none = Some(std::time::Duration::ZERO);
+    assert_eq!(overload::expected_wait(&paced, &[server, free]), none);
     let mut holds = overload::HoldTimes::default();
     for count in 0..20 {
         holds.record(&name("db"), LIMIT, time::Time::from_ms(count));
