--- a/components/daemon/src/admin.rs
+++ b/components/daemon/src/admin.rs
@@ -81,6 +81,7 @@
     runtime
         .metrics
         .set_evacuations(domains, counts.ended, counts.refused);
+    runtime.metrics.set_intake(runtime.intake.held());
     runtime.metrics.encode()
 }
 
--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -132,10 +132,12 @@
         if now >= connection.valid_until {
             return false;
         }
+        let instance = &connection.instance;
         let Some(access) = connection.access else {
-            return true;
+            return self
+                .runtime
+                .inspect(|kernel| kernel.may_continue(instance, now));
         };
-        let instance = &connection.instance;
         let renewed = self
             .runtime
             .inspect(|kernel| kernel.precondition(self.id, instance, access, now));
@@ -324,7 +326,7 @@
             return self.discard(links, connection, event::RequestOutcome::ConnectionLost);
         }
         if !self.may_send(&connection) {
-            let outcome = event::RequestOutcome::TooManyConnections;
+            let outcome = event::RequestOutcome::Uncommitted;
             return self.discard(links, connection, outcome);
         }
         let (limit, _) = self.statement_limits();
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -36,6 +36,26 @@
         /// Number of VMs that did not answer.
         silent: usize,
     },
+    /// An instance that is ahead of the candidates has not confirmed its pause in time.
+    #[display("passing over {instance}, known at {known}, which did not confirm its pause")]
+    PassedOver {
+        /// Instance name.
+        instance: Name,
+        /// Highest position known of the instance.
+        known: position::Position,
+    },
+    /// Only instances of abandoned branches have answered; the best of them is used.
+    #[display(
+        "{instance} is on an abandoned branch at {position}: the last term began at {start}, and no instance of it answers"
+    )]
+    Abandoned {
+        /// Instance name.
+        instance: Name,
+        /// Position of the instance.
+        position: position::Position,
+        /// Position at which the recorded term began.
+        start: position::Position,
+    },
     /// An instance was chosen for promotion.
     #[display("ordering promotion of {instance} at {floor} with token {token}")]
     Ordering {
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -13,6 +13,14 @@
 const CATCH_UP_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
 /// Time limit for the replicas to confirm that replication is paused.
 const PAUSE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
+/// Time limit for the pause of a replica that is known to be ahead of all that have
+/// confirmed.
+const AHEAD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
+/// Time limit for an instance of the recorded term to answer if all that have confirmed
+/// are on abandoned branches.
+const BRANCH_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(4_000);
+/// Time before the deadline of a claim that is left for the order.
+const ORDER_MARGIN: std_time::Duration = std_time::Duration::from_millis(500);
 /// Delay before a replica that has not confirmed the pause is asked again.
 const PAUSE_RETRY: std_time::Duration = std_time::Duration::from_millis(20);
 /// Poll period for an instance that a stage waits for.
@@ -77,6 +85,8 @@
     /// Era of the store to which the claim belongs.
     pub(super) era: u64,
     pub(super) planned: bool,
+    /// Whether the leader may keep the group: it was claimed because of an evacuation.
+    pub(super) may_keep: bool,
     pub(super) base_version: u64,
     pub(super) old_leader: Option<Name>,
     pub(super) term: position::Term,
@@ -164,11 +174,12 @@
         else {
             continue;
         };
-        if target.is_some_and(|target| status.received >= target) {
-            let position = position::Position {
-                term: status.term,
-                lsn: status.received,
-            };
+        let position = position::Position {
+            term: status.term,
+            lsn: status.received,
+        };
+        let has_all = target.is_some_and(|target| status.received >= target);
+        if has_all && !is_abandoned(position, context) {
             ready.push_back((name.clone(), position));
         }
     }
@@ -194,8 +205,8 @@
     Stage::CatchingUp { since }
 }
 
-/// Gives the group back to its leader if the leader answers and is not leaving: it was
-/// claimed because of an evacuation, for which no commit may be lost.
+/// Gives the group back to its leader if it was claimed because of an evacuation, for which
+/// no commit may be lost, and the leader answers and is not leaving.
 fn keep_leader(
     attempt: &Attempt,
     since: time::Time,
@@ -206,7 +217,7 @@
     let is_leaving = context.group.instances.get(&instance)?.leaving;
     let status = status_since(context, &instance, since)?;
     let is_leading = status.role == position::Role::Primary && status.term == attempt.term;
-    if is_leaving || !is_leading {
+    if !attempt.may_keep || is_leaving || !is_leading {
         return None;
     }
     let known_start = context.leader.as_ref().map(|row| row.start);
@@ -236,13 +247,68 @@
     })
 }
 
-/// Pauses replication on the replicas, so that their positions no longer
-/// change.
+/// Position at which the recorded term began; term 0 if unknown.
+fn recorded_start(context: &Context<'_>) -> position::Position {
+    let row = context.leader.as_ref();
+    row.map(|row| row.start).unwrap_or_default()
+}
+
+/// Whether a position is on an abandoned branch: the log has commits beyond the start of
+/// the recorded term, but not in that term.
+fn is_abandoned(position: position::Position, context: &Context<'_>) -> bool {
+    let start = recorded_start(context);
+    position.term < start.term && position.lsn > start.lsn
+}
+
+/// Rank of a position among the candidates; abandoned branches come last.
+fn standing(position: position::Position, context: &Context<'_>) -> (bool, position::Position) {
+    (!is_abandoned(position, context), position)
+}
+
+/// Best of the candidates if it is on an abandoned branch.
+fn find_abandoned(
+    paused: &collections::BTreeMap<Name, position::Position>,
+    context: &Context<'_>,
+) -> Option<(Name, position::Position)> {
+    let best = paused
+        .iter()
+        .max_by_key(|(_, position)| standing(**position, context))?;
+    let (name, position) = best;
+    is_abandoned(*position, context).then(|| (name.clone(), *position))
+}
+
+/// Instance that is known to be ahead of all replicas that have confirmed their pause, with
+/// its position. An instance that is unreachable does not count.
+fn find_ahead(
+    replicas: &[&Name],
+    paused: &collections::BTreeMap<Name, position::Position>,
+    context: &Context<'_>,
+) -> Option<(Name, position::Position)> {
+    let best = paused
+        .values()
+        .map(|position| standing(*position, context))
+        .max()?;
+    let waiting = replicas
+        .iter()
+        .filter(|name| !paused.contains_key(**name) && !context.group.is_unreachable(name));
+    let known = waiting.filter_map(|name| Some((*name, context.group.known_position(name)?)));
+    let ahead = known.filter(|(_, position)| standing(*position, context) > best);
+    ahead
+        .max_by_key(|(_, position)| standing(*position, context))
+        .map(|(name, position)| ((*name).clone(), position))
+}
+
+/// Pauses replication on the replicas, so that their positions no longer change. A
+/// replica that is known to be ahead of the others is waited for longer than one about
+/// which nothing is known, but it may be lost.
+///
+/// Replicas of abandoned branches are used only if no other instance answers. The old
+/// leader counts here too: it may have come back with its log.
 pub(super) fn pause_replicas(
-    attempt: &Attempt,
+    attempt: &mut Attempt,
     since: time::Time,
     mut requests: collections::BTreeMap<Name, PauseRequest>,
-    paused: collections::BTreeMap<Name, position::Position>,
+    mut paused: collections::BTreeMap<Name, position::Position>,
     context: &Context<'_>,
     out: &mut Vec<Step>,
 ) -> Stage {
@@ -263,15 +329,56 @@
             requests.insert((*name).clone(), PauseRequest::Sent);
         }
     }
-    let is_complete = !replicas.is_empty() && paused.len() >= replicas.len();
-    let is_late = context.now.since(since) >= PAUSE_TIMEOUT;
-    if is_complete || (is_late && !paused.is_empty()) {
+    let has_paused = |name: &&Name| paused.contains_key(*name);
+    let is_complete = !replicas.is_empty() && replicas.iter().all(has_paused);
+    let waited = context.now.since(since);
+    let is_late = waited >= PAUSE_TIMEOUT;
+    let is_last_chance = context.now + ORDER_MARGIN >= deadline;
+    let mut abandoned = find_abandoned(&paused, context);
+    if abandoned.is_some()
+        && let Some(old_leader) = attempt.old_leader.clone()
+    {
+        match status_since(context, &old_leader, since) {
+            Some(status) => {
+                let position = position::Position {
+                    term: status.term,
+                    lsn: status.received,
+                };
+                paused.insert(old_leader, position);
+                abandoned = find_abandoned(&paused, context);
+            }
+            None => poll_instances(attempt, context, vec![old_leader], out),
+        }
+    }
+    // Without an old leader, no other instance can answer once all have confirmed.
+    let may_improve = !is_complete || attempt.old_leader.is_some();
+    if abandoned.is_some() && may_improve && waited < BRANCH_TIMEOUT && !is_last_chance {
+        return Stage::Pausing {
+            since,
+            requests,
+            paused,
+        };
+    }
+    let ahead = find_ahead(&replicas, &paused, context);
+    let may_wait = ahead.is_some() && waited < AHEAD_TIMEOUT && !is_last_chance;
+    if is_complete || (is_late && !paused.is_empty() && !may_wait) {
+        if let Some((instance, known)) = ahead {
+            out.push(Step::Note(Note::PassedOver { instance, known }));
+        }
+        if let Some((instance, position)) = abandoned {
+            let start = recorded_start(context);
+            out.push(Step::Note(Note::Abandoned {
+                instance,
+                position,
+                start,
+            }));
+        }
         return Stage::Ordering {
             candidates: rank_candidates(paused.into_iter().collect(), context),
             sent: None,
         };
     }
-    if is_late {
+    if is_late && paused.is_empty() {
         return start_pausing(context.now);
     }
     Stage::Pausing {
@@ -281,8 +388,8 @@
     }
 }
 
-/// Sorts the candidates by descending position. Of candidates with equal
-/// positions, those that may stay and those in this region come first.
+/// Sorts the candidates by descending position, abandoned branches last. Of candidates
+/// with equal positions, those that may stay and those in this region come first.
 fn rank_candidates(
     mut candidates: Vec<(Name, position::Position)>,
     context: &Context<'_>,
@@ -295,7 +402,8 @@
             .is_none_or(group::InstanceState::is_withdrawn);
         let domain = context.view.registration(name).map(|entry| &entry.domain);
         let is_near = domain.and_then(|domain| context.regions.get(domain)) == Some(context.region);
-        (std::cmp::Reverse(*position), is_withdrawn, !is_near)
+        let standing = standing(*position, context);
+        (std::cmp::Reverse(standing), is_withdrawn, !is_near)
     });
     candidates.into()
 }
@@ -352,10 +460,14 @@
     });
     if let Some(status) = confirmed {
         // A replica that restarted after its pause has received more than it reported then.
-        let start = position::Position {
+        let reported = position::Position {
             term: status.term,
             lsn: status.received,
         };
+        // The leader of the recorded term may have come back.
+        let start = Some(recorded_start(context))
+            .filter(|start| start.term == status.term)
+            .unwrap_or(reported);
         out.push(Step::Note(Note::Leads {
             instance: instance.clone(),
             term: status.term,
