Take the memory and the evacuation bound from the environment

The template of the settings used sections for two values that the platform states only on some deployments.

Settings files keep limits.memory and timing.evacuation.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -178,6 +178,11 @@
 /// none.
 const DEFAULT_EVACUATION: time::Duration = ms(5_000);
 
+/// Time in which open transactions may run statements during an evacuation.
+pub(crate) fn evacuation_timeout(bound: time::Duration) -> time::Duration {
+    bound * EVACUATION_PERCENT / 100
+}
+
 const fn ms(n: u64) -> time::Duration {
     time::Duration::from_millis(n)
 }
@@ -280,7 +285,7 @@
             stop_timeout: duration_or(raw.stop.as_ref(), ms(30_000))?,
             leave_period: duration_or(raw.leave.as_ref(), ms(0))?,
             drain_timeout: duration_or(raw.drain.as_ref(), drain)?,
-            evacuation_timeout: share_of(evacuation, EVACUATION_PERCENT),
+            evacuation_timeout: evacuation_timeout(evacuation),
             tick_period: duration_or(raw.tick.as_ref(), ms(2))?,
             idle_period: duration_or(raw.rest.as_ref(), ms(2))?,
         })
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -7,6 +7,7 @@
 //! the line, where it is known, and the correction.
 
 mod document;
+pub mod environment;
 mod failure;
 mod fleet;
 mod key;
--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -243,3 +243,31 @@
     let problem = failure.expect_err("a rate that gives no tokens").problem;
     assert_eq!(problem, Problem::OutOfRange("warmup.rate", 5, 100_000_000));
 }
+
+#[test]
+fn variables_replace_values_of_the_settings() {
+    let read = || config::read_settings(SETTINGS, &origin()).expect("valid settings");
+    let apply = |memory: &str, evacuation: &str| {
+        let (memory, evacuation) = (memory.to_string(), evacuation.to_string());
+        let mut settings = read();
+        let variable = |name: &str| match name {
+            config::environment::MEMORY_VARIABLE => Some(memory.clone()),
+            config::environment::EVACUATION_VARIABLE => Some(evacuation.clone()),
+            _ => None,
+        };
+        let result = config::environment::apply(&mut settings, &variable);
+        result.map(|()| {
+            (
+                settings.intake.memory_bytes,
+                settings.timing.evacuation_timeout,
+            )
+        })
+    };
+    let file = (read().intake.memory_bytes, read().timing.evacuation_timeout);
+    assert_eq!(apply("", "").expect("no variables"), file);
+    let changed = (160 << 20, std::time::Duration::from_millis(2_400));
+    assert_eq!(apply("160", "4000").expect("valid variables"), changed);
+    for (memory, evacuation) in [("0", ""), ("many", ""), ("", "-1"), ("", "5s")] {
+        assert!(apply(memory, evacuation).is_err(), "{memory} {evacuation}");
+    }
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -9,7 +9,9 @@
 pub fn run(matches: &clap::ArgMatches) -> cmd::Outcome {
     platform::register();
     let (text, origin) = cmd::read_file(cmd::arg_value(matches, "file"))?;
-    let settings = config::read_settings(&text, &origin).map_err(cmd::invalid)?;
+    let mut settings = config::read_settings(&text, &origin).map_err(cmd::invalid)?;
+    let variable = |name: &str| std::env::var(name).ok();
+    config::environment::apply(&mut settings, &variable).map_err(cmd::invalid)?;
     let log_failure = |failure| Report::new(failure::Failure::Log(failure));
     telemetry::init(&settings.log_level).map_err(log_failure)?;
     let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT, consts::SIGHUP])
