--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -529,7 +529,7 @@
         self.max_connections, self.promote_s = max_connections, promote_s
         self.lock = threading.RLock()
         self.counter = itertools.count(1)
-        self.reads, self.commits = [], []
+        self.reads, self.commits, self.promotions = [], [], []
         self.rows_of = lambda item: None
         self.instances = [Instance(self, f"i-{name}-{n}", zone) for n, zone in enumerate(zones)]
         self.instances[0].role = "primary"
@@ -610,6 +610,8 @@
             term = max(i.term for i in self.instances) + 1
             instance.role, instance.term, instance.held = "primary", term, 0
             instance.applied, instance.led_at = len(instance.log), time.monotonic()
+            held = {entry.ident for entry in instance.log}
+            self.promotions.append((instance.name, instance.led_at, held))
             self.record.write(f"{instance.name}: leads term {term} from {instance.position(instance.applied)}")
             for other in self.instances:
                 if other is not instance and other.is_alive and not other.is_dark:
