--- a/review/6/play.py
+++ b/review/6/play.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 import rig
 
+rig.Case.ZONES = {"sofia-lozenets": "sofia", "sofia-mladost": "sofia", "plovdiv-trakia": "plovdiv"}
 DATABASE = "lepu270"
 SLACK_S = 0.3  # unfreezeSlackMs
 
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -340,7 +340,7 @@
         time.sleep(1.0)
         with self.group.lock:
             leader = self.group.leader()
-            if leader is not self and self.term < leader.term:
+            if leader is not None and leader is not self and self.term < leader.term:
                 self.follow(leader)
                 self.group.record.write(f"{self.name}: follows {leader.name} at {self.position(len(self.log))}")
 
@@ -373,7 +373,7 @@
     def follow(self, leader):
         common = 0
         for own, other in zip(self.log, leader.log):
-            if own is not other:
+            if own is not other:  # Entries are shared by the logs that hold them.
                 break
             common += 1
         del self.log[common:]
