--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -388,7 +388,7 @@
         self.instance, self.peer, self.user = instance, peer, user
         self.group = instance.group
         self.state, self.is_read_only, self.writes, self.term = "I", False, [], 0
-        self.names = {}
+        self.names, self.values = {}, {}
 
     def reply(self, *lines):
         self.instance.send(self.peer, *lines, f"READY {self.state} {self.instance.position(self.instance.applied)}")
@@ -416,6 +416,7 @@
         inst, group = self.instance, self.group
         word, _, rest = text.partition(" ")
         if ident != "-":
+            group.runs.append((ident, word, dict(self.values)))
             group.record.write(f"{inst.name} gets {ident} {text[:60]} (from {self.user})")
         if word == "STATUS" or word in ("PAUSE", "STEPDOWN", "RESUME"):
             return self.control(word, rest)
@@ -423,7 +424,12 @@
         if word == "AFTER":
             floor, _, text = rest.partition(" ")
             word, _, rest = text.partition(" ")
-        if word in ("SET", "DISCARD"):
+        if word == "SET":
+            name, _, value = rest.partition(" ")
+            self.values[name] = value
+            return self.reply("COMPLETE -")
+        if word == "DISCARD":
+            self.names, self.values = {}, {}
             return self.reply("COMPLETE -")
         if word == "PREPARE":
             name, kind, shape = rest.split(" ", 2)
@@ -529,7 +535,7 @@
         self.max_connections, self.promote_s = max_connections, promote_s
         self.lock = threading.RLock()
         self.counter = itertools.count(1)
-        self.reads, self.commits, self.promotions = [], [], []
+        self.reads, self.commits, self.promotions, self.runs = [], [], [], []
         self.rows_of = lambda item: None
         self.instances = [Instance(self, f"i-{name}-{n}", zone) for n, zone in enumerate(zones)]
         self.instances[0].role = "primary"
