Run each statement under the session's values, COMMIT and ROLLBACK too

Cause: the values were given to the connection when it was taken and by run_in_transaction, not by commit, and not before the caller's ROLLBACK. Every statement of a session passes Session::run, so that is where the connection now takes them. A failure there proves that the statement was not sent: a COMMIT then aborts. A ROLLBACK is forwarded only if the connection has the values; otherwise the daemon rolls back with its own statement, since a failed transaction takes no values.

--- a/components/daemon/src/dialect_session/connection.rs
+++ b/components/daemon/src/dialect_session/connection.rs
@@ -103,13 +103,30 @@
         taken
     }
 
-    /// Runs a statement, and tells the kernel if the instance is slow to answer.
+    /// Gives the connection the session's values: the caller may have set some since the
+    /// last statement. After a failure the next statement must not be sent.
+    fn adapt_values(
+        &self,
+        connection: &mut Connection,
+        limit: std_time::Duration,
+    ) -> Result<(), dialect::LinkFailure> {
+        let adapted = connection.link.set_values(&self.values, limit);
+        adapted.map_err(|failure| {
+            log::info!(target: "request", instance = &**connection.instance, failure:%;
+                "the connection did not take the session's values");
+            dialect::LinkFailure::Unsent
+        })
+    }
+
+    /// Runs a statement under the session's values, and tells the kernel if the instance is
+    /// slow to answer.
     pub(super) fn run(
         &self,
         connection: &mut Connection,
         run: &dialect::Execution<'_>,
         limit: std_time::Duration,
     ) -> Result<dialect::Reply, dialect::LinkFailure> {
+        self.adapt_values(connection, limit)?;
         let first_wait = limit.min(group::STATEMENT_DELAY);
         match connection
             .link
@@ -311,8 +328,9 @@
         self.release(connection.request, outcome);
     }
 
-    /// Rolls a transaction back at its instance, with the caller's statement if the
-    /// caller sent one, and gives up the connection.
+    /// Rolls a transaction back at its instance, with the caller's statement if the caller
+    /// sent one and the connection has the session's values, and gives up the connection. In
+    /// a failed transaction, the instance would refuse to take values.
     pub(super) fn roll_back_connection(
         &self,
         links: &links::Links,
@@ -330,7 +348,8 @@
             return self.discard(links, connection, outcome);
         }
         let (limit, _) = self.statement_limits();
-        let rolled_back = match call {
+        let has_values = connection.link.distance(&self.values) == 0;
+        let rolled_back = match call.filter(|_| has_values) {
             Some(call) => {
                 let run = dialect::Execution::Plain(call);
                 connection.link.run(&run, None, limit).map(|_| ())
--- a/components/daemon/src/dialect_session/transaction.rs
+++ b/components/daemon/src/dialect_session/transaction.rs
@@ -100,10 +100,7 @@
             self.discard(links, connection, outcome);
             return self.fail(Some(planned.call), &Refusal::new(Cause::TransactionLost, 0));
         }
-        let adapted = connection.link.set_values(&self.values, limit);
-        match adapted
-            .and_then(|()| self.run_retrying_busy(&mut connection, &planned.run, limit, deadline))
-        {
+        match self.run_retrying_busy(&mut connection, &planned.run, limit, deadline) {
             Ok(reply) => {
                 self.report_position(&connection, sent, &reply);
                 if let Some(transaction) = &mut self.transaction {
