Keep the settings and names of a PostgreSQL session as they were acknowledged

Callers saw: a SET of a rolled back or failed transaction in force on the next connection; a SET in a query of several statements, or after a DISCARD in the same batch, gone; the oldest of more than 64 settings gone; a name that ran a statement whose preparing had failed.

Cause: the session kept what a batch asked for, not what was acknowledged. Now each statement has an effect (wire::Parameters, NameChange) that is applied as far as the batch has run, stands once its transaction has committed, and is undone with it. A setting too many is refused before it runs. A replay that the database refuses drops the connection; before, the statement ran without the setting. After DISCARD ALL a connection is not reused, and RESET between sessions covers the role.

The stand-in runs RESET ALL now; it refused it, so that no connection was used again after a SET.

Settings and names share the plan and go in together.

--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -46,6 +46,8 @@
     id: event::SessionId,
     statements: wire::SessionStatements,
     connection: Option<Connection>,
+    /// How far the last batch has run; none if it did not run.
+    progress: Option<wire::Progress>,
     /// Whether messages are skipped until the next Sync, after an error.
     is_skipping: bool,
     database: String,
@@ -69,6 +71,7 @@
             id,
             statements: wire::SessionStatements::default(),
             connection: None,
+            progress: None,
             is_skipping: false,
             database: String::new(),
             token: None,
@@ -188,11 +191,12 @@
             }
             Err(wire::PlanError::Protocol(failure)) => return Err(failure),
         };
-        if let Some(replies) = plan.local_replies() {
-            return self.answer_locally(&replies, end);
-        }
-        let state = self.execute(&plan, measure)?;
-        self.statements.save_settings(&plan);
+        self.progress = None;
+        let state = match plan.local_replies() {
+            Some(replies) => self.answer_locally(&replies, end),
+            None => self.execute(&plan, measure),
+        }?;
+        self.statements.finish(plan, self.progress);
         Ok(state)
     }
 
@@ -209,6 +213,7 @@
         {
             return self.refuse(&Refusal::new(Cause::TransactionFailed, 0), end);
         }
+        self.progress = Some(wire::Progress::default());
         wire::put_frames(&mut self.caller.output, replies);
         if end != wire::Terminator::Flush {
             self.write_ready();
@@ -228,6 +233,7 @@
                 return Ok(SessionState::Closed);
             }
             connection.has_failed = true;
+            self.statements.fail_transaction();
         }
         wire::put_error(&mut self.caller.output, refusal, "ERROR");
         if end == wire::Terminator::Flush {
@@ -338,7 +344,9 @@
         let mut server = taken.ok()?;
         for setting in self.statements.settings() {
             server.is_dirty = true;
-            if matches!(server.query(setting), Err(failure) if is_fatal(&failure)) {
+            if let Err(failure) = server.query(setting) {
+                log::warn!(target: "request", instance = &**instance, failure:%;
+                    "the connection did not take a setting of the session");
                 pool.forget_used(instance);
                 return None;
             }
@@ -397,7 +405,8 @@
             secret: connection.server.secret_key,
         };
         *locks::lock(&self.handle.cancel_target) = Some(target);
-        connection.server.is_dirty |= !plan.settings.is_empty() || plan.discards_settings;
+        connection.server.is_dirty |= plan.alters_parameters;
+        connection.server.has_lost_statements |= plan.drops_statements();
         let access = connection.access;
         let result = wire::run_batch(
             plan,
@@ -469,6 +478,7 @@
         measure: &mut MeasureFn<'_>,
     ) -> Result<SessionState, wire::Failure> {
         self.is_skipping = exchange.is_skipping;
+        self.progress = Some(exchange.progress);
         let outcome = if connection.is_primary {
             telemetry::Outcome::Primary
         } else {
@@ -552,7 +562,3 @@
         std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
     )
 }
-
-fn is_fatal(failure: &wire::Failure) -> bool {
-    !matches!(failure, wire::Failure::Refused(_))
-}
--- a/components/standin/src/sql.rs
+++ b/components/standin/src/sql.rs
@@ -51,6 +51,9 @@
 
 /// Splits and parses a query string.
 pub fn parse(sql: &str) -> Result<Vec<ast::Statement>, failure::Failure> {
+    // The parser knows no `RESET`; `DISCARD ALL` has the same effect here.
+    let is_reset = sql.trim_start().starts_with("RESET ALL");
+    let sql = if is_reset { "DISCARD ALL" } else { sql };
     let parsed = parser::Parser::parse_sql(&dialect::PostgreSqlDialect {}, sql);
     parsed.map_err(|error| failure::Failure::sql("42601", error.to_string()))
 }
--- a/components/wire/src/classify.rs
+++ b/components/wire/src/classify.rs
@@ -84,7 +84,7 @@
                 StatementClass::Read
             }
         }
-        "SET" if has("LOCAL") || has("TRANSACTION") => StatementClass::Write,
+        "SET" if !is_session_wide(&words.list) => StatementClass::Write,
         "SET" | "RESET" => StatementClass::Set,
         "DISCARD" => StatementClass::Set,
         "BEGIN" | "START" if has("ONLY") => StatementClass::Read,
@@ -92,6 +92,35 @@
     }
 }
 
+/// Whether a `SET` with these words holds beyond its transaction.
+pub(crate) fn is_session_wide(words: &[String]) -> bool {
+    let has = |word: &str| words.iter().any(|w| w == word);
+    has("CHARACTERISTICS") || !(has("LOCAL") || has("TRANSACTION"))
+}
+
+/// Words of a statement outside of literals, quoted names and comments, in upper case.
+pub(crate) fn words(sql: &str) -> Vec<String> {
+    Words::parse(sql).list
+}
+
+/// Splits a query at the semicolons outside of literals, quoted names and comments.
+pub(crate) fn split(sql: &str) -> Vec<&str> {
+    let bytes = sql.as_bytes();
+    let mut statements = Vec::new();
+    let (mut start, mut i) = (0, 0);
+    while i < bytes.len() {
+        let end = token_end(bytes, i);
+        if bytes[i] == b';' {
+            statements.push(&sql[start..i]);
+            start = end;
+        }
+        i = end;
+    }
+    statements.push(&sql[start..]);
+    statements.retain(|statement| !statement.trim().is_empty());
+    statements
+}
+
 /// Words outside of literals, quoted names and comments, in upper case.
 struct Words {
     list: Vec<String>,
--- a/components/wire/src/exchange.rs
+++ b/components/wire/src/exchange.rs
@@ -18,9 +18,24 @@
 /// SQLSTATE with which a replica refuses a write.
 const READ_ONLY_SQLSTATE: &str = "25006";
 
+/// How far the statements of a batch have run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Number of statements that succeeded before an error.
+    pub statements: usize,
+    /// Number of changes of names that were answered before an error.
+    pub names: usize,
+    /// Whether a statement failed.
+    pub has_error: bool,
+    /// Whether no transaction is open after the batch.
+    pub is_idle: bool,
+}
+
 /// Result of a batch that ran to its end.
 #[derive(Debug)]
 pub struct BatchOutcome {
+    /// How far the statements have run.
+    pub progress: Progress,
     /// Transaction status in the last ReadyForQuery: `I`, `T` or `E`.
     pub status: u8,
     /// The batch may have committed a write.
@@ -57,6 +72,8 @@
     Until(&'static [u8]),
     /// A reply that the proxy creates: tag and body.
     Local(u8, &'static [u8]),
+    /// The same, for a change of names.
+    NameChange(u8, &'static [u8]),
     /// ReadyForQuery.
     Ready,
     /// Reply to the status query, up to its ReadyForQuery.
@@ -75,6 +92,7 @@
     has_rows: bool,
     error_sqlstate: Option<String>,
     tags: CommandTags,
+    progress: Progress,
     status: u8,
     primary_status: Option<position::Status>,
 }
@@ -120,6 +138,7 @@
         has_rows: false,
         error_sqlstate: None,
         tags: CommandTags::default(),
+        progress: Progress::default(),
         status: b'T',
         primary_status: None,
     };
@@ -169,7 +188,7 @@
                 let is_prepared = !seen.insert(statement.name.clone())
                     || server.prepared.contains(&statement.name);
                 if is_prepared {
-                    expected.push_back(Expected::Local(b'1', b""));
+                    expected.push_back(Expected::NameChange(b'1', b""));
                 } else {
                     put_parse(server, statement);
                     expected.push_back(Expected::Parse(statement.name.clone(), true));
@@ -192,6 +211,9 @@
                 }
             }
             statements::Step::Local(tag, body) => expected.push_back(Expected::Local(*tag, body)),
+            statements::Step::NameChange(tag, body) => {
+                expected.push_back(Expected::NameChange(*tag, body));
+            }
         }
     }
     expected
@@ -245,9 +267,13 @@
     }
 
     fn put_local_replies(&mut self) {
-        while let Some(Expected::Local(tag, body)) = self.expected.front() {
+        while let Some(Expected::Local(tag, body) | Expected::NameChange(tag, body)) =
+            self.expected.front()
+        {
             let (tag, body) = (*tag, *body);
-            self.expected.pop_front();
+            let reply = self.expected.pop_front();
+            let is_change = matches!(reply, Some(Expected::NameChange(..)));
+            self.progress.names += usize::from(is_change);
             let out = self.reply_buffer();
             framing::put_frame(out, tag, body);
         }
@@ -307,6 +333,10 @@
             b'G' => self.fail_copy()?,
             b'A' => {}
             b'1' => self.handle_parse_complete(&frame),
+            b'I' | b's' => {
+                self.progress.statements += 1;
+                frame.encode(self.reply_buffer());
+            }
             _ => {
                 frame.encode(self.reply_buffer());
             }
@@ -343,11 +373,13 @@
         let is_visible = *is_visible;
         self.server.prepared.insert(name.clone());
         if is_visible {
+            self.progress.names += 1;
             frame.encode(self.reply_buffer());
         }
     }
 
     fn handle_command_complete(&mut self, frame: &framing::Frame) {
+        self.progress.statements += 1;
         self.tags.has_commit |= frame.body.starts_with(b"COMMIT");
         self.tags.last_rollback = frame.body.starts_with(b"ROLLBACK");
         let is_write = self.access == event::Access::Write;
@@ -425,7 +457,13 @@
             self.caller.output.extend_from_slice(&held_output);
             held_output.clear();
         }
+        let progress = Progress {
+            has_error: self.error_sqlstate.is_some(),
+            is_idle,
+            ..self.progress
+        };
         BatchOutcome {
+            progress,
             status,
             maybe_committed,
             needs_primary,
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -56,6 +56,8 @@
     pub prepared: collections::HashSet<Bytes>,
     /// A session has changed parameters of the connection.
     pub is_dirty: bool,
+    /// A session may have dropped prepared statements of the connection.
+    pub has_lost_statements: bool,
 }
 
 /// Opens a TCP connection from the endpoint's local address.
@@ -82,6 +84,7 @@
             secret_key: 0,
             prepared: collections::HashSet::new(),
             is_dirty: false,
+            has_lost_statements: false,
         };
         server.stream.set_read_timeout(Some(endpoint.timeout))?;
         server.send_startup(login);
@@ -151,7 +154,7 @@
 
     /// Whether the connection may be reused by another session.
     pub fn is_reusable(&self) -> bool {
-        self.prepared.len() < MAX_PREPARED
+        self.prepared.len() < MAX_PREPARED && !self.has_lost_statements
     }
 
     /// Runs a query of the simple protocol and returns the rows in text format.
@@ -183,9 +186,9 @@
         }
     }
 
-    /// Resets all session parameters to their defaults.
+    /// Resets all session parameters to their defaults. `RESET ALL` leaves the role as it is.
     pub fn reset(&mut self) -> Result<(), failure::Failure> {
-        self.query("RESET ALL")?;
+        self.query("RESET ALL; RESET SESSION AUTHORIZATION")?;
         self.is_dirty = false;
         Ok(())
     }
--- a/components/wire/src/statements.rs
+++ b/components/wire/src/statements.rs
@@ -10,12 +10,12 @@
 use errors::Cause;
 use kernel::event;
 
-use crate::{batch, classify, deallocate, failure, framing};
+use crate::{batch, classify, deallocate, exchange, failure, framing, parameters};
 
 /// Maximum number of prepared statements of a session.
 const MAX_STATEMENTS: usize = 1_000;
 /// Maximum number of statements that set parameters which a session replays on
-/// other connections; the oldest are dropped first.
+/// other connections.
 const MAX_SETTINGS: usize = 64;
 
 /// Memory of a kept text or name besides its bytes.
@@ -49,6 +49,20 @@
     Send(framing::Frame),
     /// Reply to the caller without the database: message type and body.
     Local(u8, &'static [u8]),
+    /// The same, for the next change of the names of prepared statements.
+    NameChange(u8, &'static [u8]),
+}
+
+/// Change of the names of prepared statements, which takes effect when the caller gets the
+/// reply to it.
+#[derive(Debug)]
+pub enum NameChange {
+    /// The name refers to this statement.
+    Define(Bytes, sync::Arc<Statement>),
+    /// The name is dropped.
+    Drop(Bytes),
+    /// All names are dropped.
+    DropAll,
 }
 
 /// Batch that is ready to run on any connection.
@@ -60,10 +74,12 @@
     pub access: event::Access,
     /// Type of the last message of the batch.
     pub terminator: batch::Terminator,
-    /// Statements that change parameters of the session.
-    pub settings: Vec<String>,
-    /// The batch runs `DISCARD`, which drops the session's settings.
-    pub discards_settings: bool,
+    /// Effects of the statements on the session's parameters, in order.
+    pub effects: Vec<parameters::Effect>,
+    /// Changes of names, in order.
+    pub names: Vec<NameChange>,
+    /// Whether a statement may change parameters of the connection.
+    pub alters_parameters: bool,
     /// Whether the last statement starts or commits a transaction block.
     pub boundary: classify::Boundary,
 }
@@ -76,7 +92,7 @@
     prepared: collections::HashMap<Bytes, sync::Arc<Statement>>,
     /// Portals of `DEALLOCATE` statements, which no database knows.
     portals: collections::HashMap<Bytes, deallocate::Target>,
-    settings: Vec<String>,
+    parameters: parameters::Parameters,
 }
 
 /// Why the proxy does not run a batch.
@@ -112,33 +128,87 @@
         }
     }
 
-    fn remove_prepared(&mut self, name: &Bytes) -> bool {
-        let removed = self.prepared.remove(name);
-        if let Some(statement) = &removed {
-            self.drop_kept(kept_bytes(name, statement));
+    /// Statement that a name refers to after the changes of a plan.
+    fn find(&self, plan: &Plan, name: &Bytes) -> Option<sync::Arc<Statement>> {
+        for change in plan.names.iter().rev() {
+            match change {
+                NameChange::Define(other, statement) if other == name => {
+                    return Some(statement.clone());
+                }
+                NameChange::Drop(other) if other == name => return None,
+                NameChange::DropAll if !name.is_empty() => return None,
+                _ => {}
+            }
+        }
+        self.prepared.get(name).cloned()
+    }
+
+    fn remove_prepared(&mut self, name: &Bytes) {
+        if let Some(statement) = self.prepared.remove(name) {
+            self.drop_kept(kept_bytes(name, &statement));
+        }
+    }
+
+    fn apply_name(&mut self, change: NameChange) {
+        match change {
+            NameChange::Define(name, statement) => {
+                self.remove_prepared(&name);
+                self.prepared.insert(name, statement);
+            }
+            NameChange::Drop(name) => self.remove_prepared(&name),
+            NameChange::DropAll => {
+                let names: Vec<_> = self.prepared.keys().cloned().collect();
+                for name in names.iter().filter(|name| !name.is_empty()) {
+                    self.remove_prepared(name);
+                }
+            }
         }
-        removed.is_some()
     }
 
     /// Statements that set the session's parameters on another connection.
-    pub fn settings(&self) -> &[String] {
-        &self.settings
+    pub fn settings(&self) -> impl Iterator<Item = &str> {
+        self.parameters.statements()
     }
 
-    /// Saves the statements of a batch that set parameters.
-    pub fn save_settings(&mut self, plan: &Plan) {
-        let mut dropped = 0;
-        if plan.discards_settings {
-            dropped += total_bytes(&self.settings);
-            self.settings.clear();
+    /// Applies what a batch has done to the session's names and parameters, as far as its
+    /// statements have run; nothing if the batch did not run.
+    pub fn finish(&mut self, plan: Plan, progress: Option<exchange::Progress>) {
+        let reached = |count: fn(&exchange::Progress) -> usize| match &progress {
+            None => 0,
+            Some(progress) if progress.has_error => count(progress),
+            Some(_) => usize::MAX,
+        };
+        let limit = reached(|progress| progress.names);
+        for (index, change) in plan.names.into_iter().enumerate() {
+            match change {
+                change if index < limit => self.apply_name(change),
+                NameChange::Define(name, statement) => {
+                    self.drop_kept(kept_bytes(&name, &statement));
+                }
+                _ => {}
+            }
         }
-        self.settings.extend(plan.settings.iter().cloned());
-        if self.settings.len() > MAX_SETTINGS {
-            let excess = self.settings.len() - MAX_SETTINGS;
-            dropped += total_bytes(&self.settings[..excess]);
-            self.settings.drain(..excess);
+        let limit = reached(|progress| progress.statements);
+        let mut dropped = Vec::new();
+        for (index, effect) in plan.effects.into_iter().enumerate() {
+            if index < limit {
+                dropped.extend(self.parameters.apply(effect));
+            } else {
+                dropped.extend(effect.kept_text().map(str::to_string));
+            }
+        }
+        if progress.is_some_and(|progress| progress.has_error) {
+            self.parameters.fail();
+        }
+        if progress.is_some_and(|progress| progress.is_idle) {
+            dropped.extend(self.parameters.end_transaction());
         }
-        self.drop_kept(dropped);
+        self.drop_kept(total_bytes(dropped.iter().map(String::as_str)));
+    }
+
+    /// Records that the open transaction has failed.
+    pub fn fail_transaction(&mut self) {
+        self.parameters.fail();
     }
 
     /// Converts a batch to a plan.
@@ -147,30 +217,57 @@
             steps: Vec::with_capacity(batch.frames.len()),
             access: event::Access::Read,
             terminator: batch.terminator,
-            settings: Vec::new(),
-            discards_settings: false,
+            effects: Vec::new(),
+            names: Vec::new(),
+            alters_parameters: false,
             boundary: classify::Boundary::Inside,
         };
-        for frame in batch.frames {
+        match self.plan_frames(batch.frames, &mut plan) {
+            Ok(()) => Ok(plan),
+            Err(error) => {
+                // Settings are charged last.
+                plan.effects.clear();
+                self.finish(plan, None);
+                Err(error)
+            }
+        }
+    }
+
+    /// Adds messages to a plan, and charges for the names and settings that it adds.
+    fn plan_frames(
+        &mut self,
+        frames: Vec<framing::Frame>,
+        plan: &mut Plan,
+    ) -> Result<(), PlanError> {
+        for frame in frames {
             let step = match frame.tag {
-                b'Q' => self.plan_query(frame, &mut plan)?,
-                b'P' => self.plan_parse(&frame, &mut plan)?,
-                b'B' => self.plan_bind(&frame, &mut plan)?,
-                b'E' => self.plan_execute(frame)?,
-                b'D' | b'C' => self.plan_reference(frame, &mut plan)?,
+                b'Q' => self.plan_query(frame, plan)?,
+                b'P' => self.plan_parse(&frame, plan)?,
+                b'B' => self.plan_bind(&frame, plan)?,
+                b'E' => self.plan_execute(frame, plan)?,
+                b'D' | b'C' => self.plan_reference(frame, plan)?,
                 _ => Step::Send(frame),
             };
             plan.steps.push(step);
         }
-        self.keep(total_bytes(&plan.settings))?;
-        Ok(plan)
+        let settings = plan
+            .effects
+            .iter()
+            .filter_map(parameters::Effect::kept_text);
+        // An acknowledged setting is never dropped, so a further one is refused.
+        if plan.alters_parameters
+            && self.parameters.count_kept() + settings.clone().count() > MAX_SETTINGS
+        {
+            return Err(Cause::NoCapacity.into());
+        }
+        self.keep(total_bytes(settings))
     }
 
     fn plan_query(&mut self, frame: framing::Frame, plan: &mut Plan) -> Result<Step, PlanError> {
         let (sql, _) = split_cstr(&frame.body)?;
         let sql = parse_text(&sql)?;
         if let Some(target) = deallocate::Target::parse(&sql) {
-            let reply = self.apply_deallocate(&target)?;
+            let reply = self.plan_deallocate(&target, plan)?;
             plan.steps.push(reply);
             let sync = framing::Frame {
                 tag: b'S',
@@ -190,7 +287,8 @@
         if class == classify::StatementClass::Unsupported {
             return Err(Cause::Unsupported.into());
         }
-        if self.prepared.len() >= MAX_STATEMENTS && !self.prepared.contains_key(&name) {
+        let count = self.prepared.len() + plan.names.len();
+        if count >= MAX_STATEMENTS && self.find(plan, &name).is_none() {
             return Err(Cause::NoCapacity.into());
         }
         // Copies, since a slice would keep the whole input buffer.
@@ -204,11 +302,10 @@
             class,
             sql,
         });
-        self.remove_prepared(&name);
         self.keep(kept_bytes(&name, &statement))?;
-        self.prepared.insert(name, statement.clone());
+        plan.names.push(NameChange::Define(name, statement.clone()));
         if class == classify::StatementClass::Deallocate {
-            return Ok(Step::Local(b'1', b""));
+            return Ok(Step::NameChange(b'1', b""));
         }
         raise_access(plan, class);
         Ok(Step::Parse(statement))
@@ -217,10 +314,9 @@
     fn plan_bind(&mut self, frame: &framing::Frame, plan: &mut Plan) -> Result<Step, PlanError> {
         let (portal, rest) = split_cstr(&frame.body)?;
         let (name, rest) = split_cstr(&rest)?;
-        let Some(statement) = self.prepared.get(&name) else {
+        let Some(statement) = self.find(plan, &name) else {
             return Ok(Step::Send(frame.clone()));
         };
-        let statement = statement.clone();
         self.remove_portal(&portal);
         if statement.class == classify::StatementClass::Deallocate
             && let Some(target) = deallocate::Target::parse(&statement.sql)
@@ -249,10 +345,11 @@
         }
         let (name, rest) = split_cstr(&frame.body.slice(1..))?;
         if frame.tag == b'C' {
-            self.remove_prepared(&name);
-            return Ok(Step::Local(b'3', b""));
+            let name = Bytes::copy_from_slice(&name);
+            plan.names.push(NameChange::Drop(name));
+            return Ok(Step::NameChange(b'3', b""));
         }
-        let Some(statement) = self.prepared.get(&name) else {
+        let Some(statement) = self.find(plan, &name) else {
             return Ok(Step::Send(frame));
         };
         if statement.class == classify::StatementClass::Deallocate {
@@ -286,40 +383,49 @@
         Ok(Step::Local(b'n', b""))
     }
 
-    fn plan_execute(&mut self, frame: framing::Frame) -> Result<Step, PlanError> {
+    fn plan_execute(&mut self, frame: framing::Frame, plan: &mut Plan) -> Result<Step, PlanError> {
         let (portal, _) = split_cstr(&frame.body)?;
         match self.portals.get(&portal).cloned() {
-            Some(target) => self.apply_deallocate(&target),
+            Some(target) => self.plan_deallocate(&target, plan),
             None => Ok(Step::Send(frame)),
         }
     }
 
-    /// Drops prepared statements of the session and returns the reply.
-    fn apply_deallocate(&mut self, target: &deallocate::Target) -> Result<Step, PlanError> {
-        match target {
-            deallocate::Target::All => {
-                let names: Vec<_> = self.prepared.keys().cloned().collect();
-                for name in names.iter().filter(|name| !name.is_empty()) {
-                    self.remove_prepared(name);
-                }
-            }
-            deallocate::Target::Name(name) => {
-                if !self.remove_prepared(name) {
-                    return Err(Cause::StatementUnknown.into());
-                }
+    /// Plans a `DEALLOCATE`, which the proxy answers.
+    fn plan_deallocate(
+        &self,
+        target: &deallocate::Target,
+        plan: &mut Plan,
+    ) -> Result<Step, PlanError> {
+        let change = match target {
+            deallocate::Target::All => NameChange::DropAll,
+            deallocate::Target::Name(name) if self.find(plan, name).is_none() => {
+                return Err(Cause::StatementUnknown.into());
             }
-        }
-        Ok(Step::Local(b'C', target.command_tag()))
+            deallocate::Target::Name(name) => NameChange::Drop(name.clone()),
+        };
+        plan.names.push(change);
+        Ok(Step::NameChange(b'C', target.command_tag()))
     }
 }
 
 impl Plan {
+    /// Whether a statement drops the prepared statements of its connection.
+    pub fn drops_statements(&self) -> bool {
+        let drops = parameters::Effect::Reset {
+            drops_statements: true,
+        };
+        self.effects.contains(&drops)
+    }
+
     /// Returns the replies to the batch, if the batch needs no database.
     pub fn local_replies(&self) -> Option<Vec<(u8, &'static [u8])>> {
         let mut replies = Vec::new();
         for step in &self.steps {
             match step {
-                Step::Local(tag, body) => replies.push((*tag, *body)),
+                Step::Local(tag, body) | Step::NameChange(tag, body) => {
+                    replies.push((*tag, *body));
+                }
                 Step::Send(frame) if frame.tag == b'S' => {}
                 _ => return None,
             }
@@ -342,8 +448,8 @@
     portal.len() + name + ENTRY_BYTES
 }
 
-fn total_bytes(settings: &[String]) -> usize {
-    settings.iter().map(|text| text.len() + ENTRY_BYTES).sum()
+fn total_bytes<'a>(settings: impl Iterator<Item = &'a str>) -> usize {
+    settings.map(|text| text.len() + ENTRY_BYTES).sum()
 }
 
 fn record_statement(
@@ -352,17 +458,16 @@
     sql: &str,
 ) -> Result<(), PlanError> {
     plan.boundary = classify::find_boundary(sql);
-    match class {
-        classify::StatementClass::Unsupported => return Err(Cause::Unsupported.into()),
-        classify::StatementClass::Set => {
-            let first_word = sql.trim_start().get(..7).unwrap_or_default();
-            plan.discards_settings |= first_word.eq_ignore_ascii_case("DISCARD");
-            if !plan.discards_settings {
-                plan.settings.push(sql.to_string());
-            }
-        }
-        _ => raise_access(plan, class),
+    if class == classify::StatementClass::Unsupported {
+        return Err(Cause::Unsupported.into());
     }
+    raise_access(plan, class);
+    let effects = classify::split(sql).into_iter().map(parameters::Effect::of);
+    let first = plan.effects.len();
+    plan.effects.extend(effects);
+    let mut added = plan.effects[first..].iter();
+    plan.alters_parameters |= added.any(parameters::Effect::alters_parameters)
+        || classify::words(sql).iter().any(|word| word == "SET_CONFIG");
     Ok(())
 }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -225,6 +225,67 @@
     }
 }
 
+/// Value of a parameter in a new statement, outside of any transaction.
+fn show(client: &mut Client, name: &str) -> String {
+    let shown = client.simple_query(&format!("SHOW {name}"));
+    let shown = shown.expect("the parameter is shown");
+    let value = shown.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_string),
+        _ => None,
+    });
+    value.expect("a row")
+}
+
+// Guards against a replay of settings other than those that the caller was told of.
+#[test]
+fn the_settings_that_hold_are_those_that_were_acknowledged() {
+    let cluster = testbed::Cluster::start(testbed::Plan::small().for_fault_free_tests())
+        .expect("the cluster starts");
+    common::create_orders(&cluster);
+    let mut client = common::connect(&cluster, 0);
+    let mut run = |sql: &str, expected: &str| {
+        let _ = client.batch_execute(sql);
+        assert_eq!(show(&mut client, "app.x"), expected, "after {sql}");
+    };
+    run("SET app.x = '1'", "1");
+    run("BEGIN; SET app.x = '2'; ROLLBACK", "1");
+    run("BEGIN; SET app.x = '3'; COMMIT", "3");
+    run("SET app.x = '4'; SELECT no_such_column FROM orders", "3");
+    run("SET app.x = '5'; SELECT 1", "5");
+    run("BEGIN", "5");
+    run("SET app.x = '6'", "6");
+    run("ROLLBACK", "5");
+    run("RESET ALL", "");
+}
+
+// Guards against an acknowledged setting that is dropped because there are many.
+#[test]
+fn a_setting_too_many_is_refused_and_none_is_dropped() {
+    let cluster = testbed::Cluster::start(testbed::Plan::small().for_fault_free_tests())
+        .expect("the cluster starts");
+    let mut client = common::connect(&cluster, 0);
+    let mut acknowledged = Vec::new();
+    for n in 0..80 {
+        if client
+            .batch_execute(&format!("SET app.p{n} = '{n}'"))
+            .is_ok()
+        {
+            acknowledged.push(n);
+        }
+    }
+    assert!(acknowledged.len() >= 60, "{acknowledged:?}");
+    for n in acknowledged {
+        assert_eq!(show(&mut client, &format!("app.p{n}")), n.to_string());
+    }
+    client
+        .batch_execute("SET app.p0 = 'new'")
+        .expect_err("no room");
+    client.batch_execute("RESET ALL").expect("all are dropped");
+    client
+        .batch_execute("SET app.p0 = 'new'")
+        .expect("there is room again");
+}
+
 #[test]
 fn copy_from_the_caller_is_refused_and_the_session_goes_on() {
     let cluster = testbed::Cluster::start(testbed::Plan::small().for_fault_free_tests())
