Take a leader's row for proof only if this process knows the rows without a gap

Cause: a read of the store proves what the store has now, which after a restore is a state of seconds ago. A new process, one whose view had expired over the restore, and one that found no row took that for who leads. Later terms that peers and instances told of were recorded and not compared, and the VMs that knew better corrected the row after VMs that knew nothing.

Change: a row of a leader, or its absence, is proof only if it is of an era since which this process has known the rows without a gap. VMs without a gap record the leaders that they use in the new era, and new VMs no longer delay that. A later term ends the use of a leader. A claim without proof waits out the lease of VMs that the copy may lack.

--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -469,6 +469,7 @@
             }
             group::Arbiter::Store => {
                 state.handover.record_suspicion(from.clone(), term, now);
+                state.group.record_term(term, now);
                 // A VM without traffic to the leader has not noticed its loss.
                 if term == state.group.newest_term() {
                     state.group.request_leader_check(now);
@@ -554,7 +555,7 @@
     pub(crate) fn send_suspicion(&mut self, group: &Name) {
         let suspicion = message::Suspicion {
             group: group.clone(),
-            term: self.groups[group].group.newest_term(),
+            term: self.groups[group].group.suspected_term(),
         };
         let own = &self.setup.vm;
         let peers: Vec<_> = match self.arbiter {
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -126,6 +126,10 @@
     lease: std_time::Duration,
     interval: std_time::Duration,
     newest_term: position::Term,
+    /// Newest term that any instance or peer has told of; used only if the store arbitrates.
+    seen_term: position::Term,
+    /// Time since which a later term than that of the leader is known.
+    refuted_since: Option<time::Time>,
     term_changed: time::Time,
     last_answer: time::Time,
     has_led: bool,
@@ -184,6 +188,8 @@
             lease,
             interval,
             newest_term: position::Term::default(),
+            seen_term: position::Term::default(),
+            refuted_since: None,
             term_changed: now,
             last_answer: now,
             has_led: false,
@@ -327,7 +333,7 @@
         state.status = Some((sent, status));
         let store_arbitrates = self.arbiter == Arbiter::Store;
         if store_arbitrates && self.primary() != Some(instance) {
-            return;
+            return self.record_term(status.term, now);
         }
         if status.promised > self.newest_term {
             self.newest_term = status.promised;
@@ -336,6 +342,7 @@
             if !store_arbitrates {
                 self.history.clear();
             }
+            self.update_refutation(now);
         }
         if status.role == position::Role::Primary && status.term == self.newest_term {
             let is_past_delay = |since: time::Time| now.since(since) > MAX_ANSWER_DELAY;
@@ -532,7 +539,8 @@
     /// Time for which no primary of the newest term has answered.
     pub fn silence(&self, now: time::Time) -> std_time::Duration {
         if self.arbiter == Arbiter::Store && self.assignment.is_some() {
-            let since = self.absent_since.or(self.failing_since);
+            let since = [self.refuted_since, self.absent_since, self.failing_since];
+            let since = since.into_iter().flatten().min();
             return since.map_or(std_time::Duration::ZERO, |since| now.since(since));
         }
         now.since(self.last_answer.max(self.term_changed))
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -251,9 +251,11 @@
     }
 
     /// Records a position of the leader that a peer has sent.
-    pub fn record_peer_sample(&mut self, sample: sample::Sample) {
+    pub fn record_peer_sample(&mut self, sample: sample::Sample, now: time::Time) {
+        self.record_term(sample.position.term, now);
         if self.assignment.is_some() && self.newest_term == position::Term::default() {
             self.newest_term = sample.position.term;
+            self.update_refutation(now);
         }
         self.record_sample(sample);
     }
@@ -289,13 +291,36 @@
     pub(super) fn confirm_assignment(&self, now: time::Time) -> Option<Confirmation> {
         let assignment = self.assignment.as_ref()?;
         let is_known = self.newest_term != position::Term::default();
-        (is_known && assignment.until > now).then(|| Confirmation {
+        let is_valid = is_known && self.refuted_since.is_none() && assignment.until > now;
+        is_valid.then(|| Confirmation {
             term: self.newest_term,
             primary: assignment.instance.clone(),
             until: assignment.until,
         })
     }
 
+    /// Records a term that an instance or a peer has told of. A later one than that of the
+    /// leader shows that the leader has been replaced, whatever the store states.
+    pub fn record_term(&mut self, term: position::Term, now: time::Time) {
+        self.seen_term = self.seen_term.max(term);
+        self.update_refutation(now);
+    }
+
+    /// Determines whether a later term than that of the leader is known.
+    pub(super) fn update_refutation(&mut self, now: time::Time) {
+        let is_known = self.newest_term != position::Term::default();
+        if is_known && self.assignment.is_some() && self.seen_term > self.newest_term {
+            self.refuted_since.get_or_insert(now);
+        } else {
+            self.refuted_since = None;
+        }
+    }
+
+    /// Term for which VMs agree that its leader is lost: the newest one known.
+    pub fn suspected_term(&self) -> position::Term {
+        self.newest_term.max(self.seen_term)
+    }
+
     /// Applies the store's assignment; returns true if the leader or the term
     /// changed.
     pub fn set_assignment(
@@ -325,6 +350,7 @@
             self.newest_term = self.newest_term.max(assignment.term);
         }
         self.assignment = assignment;
+        self.update_refutation(now);
         self.track_absence(now + REGISTRATION_TIME);
         changed
     }
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -17,6 +17,7 @@
 use crate::{event, group, leader, message, position, time, version, view};
 
 mod note;
+mod proof;
 mod resume;
 mod stage;
 
@@ -110,6 +111,8 @@
     pub era: u64,
     /// The group's row.
     pub leader: Option<leader::Leader>,
+    /// Whether the row, or its absence, proves who leads.
+    pub is_proven: bool,
     /// Number of requests that still run at the leader that is being closed.
     pub running: usize,
     /// When the store was first seen to have come back from an older copy.
@@ -161,6 +164,7 @@
     /// lost.
     orders_until: time::Time,
     attempt: Option<Attempt>,
+    proof: proof::Proof,
     resume: Resume,
 }
 
@@ -375,6 +379,7 @@
             self.claim_ended = Some(context.now);
         }
         let rank_delay = RANK_DELAY * u32::try_from(context.rank).unwrap_or(u32::MAX);
+        self.proof.step(context, rank_delay, out);
         if self.is_leader_leaving(context, rank_delay) {
             return self.claim_row(true, context, out);
         }
@@ -413,7 +418,7 @@
         let fresh = |at: &time::Time| context.now.since(*at) <= context.silence_limit * 2;
         let peers = self.suspects.iter().filter(|(vm, (term, at))| {
             let counts = **vm != context.own.vm && context.voters.contains(vm);
-            counts && *term == context.group.newest_term() && fresh(at)
+            counts && *term == context.group.suspected_term() && fresh(at)
         });
         peers.count() + usize::from(context.voters.contains(&context.own.vm))
     }
@@ -510,8 +515,11 @@
         let is_evacuated = state.is_some_and(|state| state.evacuation.is_some() && !state.leaving);
         // The holder of an earlier claim may still have an order under way.
         let has_earlier = row.is_some_and(|row| row.claim.is_some());
+        let is_recent = |at: time::Time| context.now.since(at) < context.refusal_timeout;
+        let is_restored = context.view.has_gap() && context.restored_at.is_some_and(is_recent);
         self.attempt = Some(Attempt {
             may_keep: planned && is_evacuated && !has_earlier,
+            may_miss_users: !context.is_proven || (has_earlier && is_restored),
             era: context.era,
             number: self.last_number,
             planned,
@@ -707,7 +715,8 @@
         let is_closed = self.closing.as_ref().is_none_or(|closing| closing.is_done);
         let silent_until = since + context.lease + CLOSE_MARGIN;
         let is_waited_out = context.now >= silent_until.max(self.orders_until);
-        if is_waited_out || (is_closed && waiting.is_empty()) {
+        let have_all_closed = is_closed && waiting.is_empty() && !attempt.may_miss_users;
+        if is_waited_out || have_all_closed {
             out.push(Step::Note(Note::Closed {
                 waited_ms: time::micros(waited) / 1000,
                 silent: waiting.len(),
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -93,6 +93,20 @@
         /// Last position of the leader.
         received: position::Lsn,
     },
+    /// The instances' answers show who leads, which the restored store does not prove.
+    #[display(
+        "{instance} leads term {term}: {answered} of {known} instances have answered, none of a later term"
+    )]
+    Proven {
+        /// Instance that leads.
+        instance: Name,
+        /// Its term.
+        term: position::Term,
+        /// Number of instances that have answered.
+        answered: usize,
+        /// Number of known instances.
+        known: usize,
+    },
     /// This VM has given up the replacement.
     #[display("given up: {why}")]
     GivenUp {
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -24,7 +24,7 @@
 /// Delay before a replica that has not confirmed the pause is asked again.
 const PAUSE_RETRY: std_time::Duration = std_time::Duration::from_millis(20);
 /// Poll period for an instance that a stage waits for.
-const POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(40);
+pub(super) const POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(40);
 /// Time in which a promotion takes effect; the users state up to 1 s.
 const PROMOTION_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_300);
 /// Time limit for an instance to become primary after the order.
@@ -87,6 +87,9 @@
     pub(super) planned: bool,
     /// Whether the leader may keep the group: it was claimed because of an evacuation.
     pub(super) may_keep: bool,
+    /// Whether VMs that this one does not know may use the leader, since the store may have
+    /// lost their rows.
+    pub(super) may_miss_users: bool,
     pub(super) base_version: u64,
     pub(super) old_leader: Option<Name>,
     pub(super) term: position::Term,
@@ -131,7 +134,7 @@
 }
 
 /// Status of an instance from a poll sent at `since` or later.
-fn status_since(
+pub(super) fn status_since(
     context: &Context<'_>,
     instance: &Name,
     since: time::Time,
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -167,7 +167,7 @@
         known: u64,
     },
     /// The store has come back from an older copy.
-    #[display("{part} of the store restored, era {era}: {outdated} rows differ from those known")]
+    #[display("{part} of the store restored, era {era}: {outdated} rows differ from those known{}", if *has_gap { ", which may be outdated" } else { "" })]
     StoreRestored {
         /// Part that was read.
         part: view::Part,
@@ -175,6 +175,8 @@
         era: u64,
         /// Rows that this VM knows in a newer version than the store, or as removed.
         outdated: usize,
+        /// Whether this VM had no valid view when the store came back.
+        has_gap: bool,
     },
     /// Rows that differ in the restored store are corrected.
     #[display("{rows} rows of the restored store are corrected")]
--- a/components/kernel/src/replacement.rs
+++ b/components/kernel/src/replacement.rs
@@ -36,6 +36,7 @@
                 .stored_version(&event::RowKey::Leader(group.clone())),
             era: self.view.era(view::Part::Rows),
             leader,
+            is_proven: self.view.is_leader_proven(group),
             running,
             restored_at: self.store_watch.restored_at(),
             lease: self.setup.timing.lease,
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -5,7 +5,7 @@
 
 use config::Name;
 
-use crate::{daemon, event, group, journal, message, reports, sample, time, view};
+use crate::{daemon, event, group, journal, leader, message, reports, sample, time, version, view};
 
 /// Time after which a VM repeats its registration if the store did not answer or
 /// refused the write: when many VMs start at once, they use up the store's rate of
@@ -80,9 +80,19 @@
         let part = update.part;
         self.record_older_read(&update);
         let era = self.view.known_version(part).map(|_| self.view.era(part));
+        let lease = self.setup.timing.lease;
+        let proven_at = self.view.proven_at(part);
+        let has_gap = proven_at.is_none_or(|at| update.proven_at > at + lease);
         let changed = self.view.apply(update, self.now);
         if era.is_some_and(|era| era < self.view.era(part)) {
-            self.record_restored(part);
+            let has_gap = has_gap && part == view::Part::Rows;
+            if has_gap {
+                self.view.record_gap();
+            }
+            self.record_restored(part, has_gap);
+        } else if era.is_none() && self.view.era(part) > 0 && part == view::Part::Rows {
+            // The store may have come back a moment before the start of this process.
+            self.store_watch.restored_at = Some(self.now);
         }
         match part {
             view::Part::Configuration | view::Part::Instances if changed => self.apply_config(),
@@ -144,7 +154,7 @@
         }
     }
 
-    fn record_restored(&mut self, part: view::Part) {
+    fn record_restored(&mut self, part: view::Part, has_gap: bool) {
         if part == view::Part::Rows {
             self.store_watch.restored_at = Some(self.now);
             self.store_watch.rows_restored_at = None;
@@ -154,6 +164,7 @@
             part,
             era: self.view.era(part),
             outdated: self.view.outdated_rows().filter(|_| is_rows).count(),
+            has_gap,
         });
     }
 
@@ -164,11 +175,17 @@
         let Some(since) = self.store_watch.restored_at else {
             return;
         };
-        let mut changes: Vec<_> = self
-            .view
-            .outdated_rows()
+        // A VM that has missed what the store has lost may know an outdated leader too.
+        let is_known = |key: &event::RowKey| match key {
+            event::RowKey::Leader(group) => self.view.is_leader_proven(group),
+            _ => true,
+        };
+        let outdated = self.view.outdated_rows();
+        let outdated = outdated.filter(|(key, _, _)| is_known(key));
+        let mut changes: Vec<_> = outdated
             .map(|(key, version, row)| self.row_change(key.clone(), version, row.cloned()))
             .collect();
+        changes.extend(self.confirmed_leaders());
         let is_recent = |at: time::Time| self.now.since(at) < RESTORE_INTERVAL;
         if changes.is_empty()
             || !self.members.has_quorum(self.now)
@@ -179,8 +196,12 @@
         }
         self.store_watch.rows_restored_at = Some(self.now);
         // A member row that is newer than the epoch's shows that its VM has read the
-        // epoch, so the epoch goes last.
-        changes.sort_by_key(|change| change.key == event::RowKey::Epoch);
+        // epoch, so the epoch goes last. A leader's row shows that the members are known.
+        changes.sort_by_key(|change| match change.key {
+            event::RowKey::Epoch => 2,
+            event::RowKey::Leader(_) => 1,
+            _ => 0,
+        });
         self.record_decision(journal::Decision::RowsRestored {
             rows: changes.len(),
         });
@@ -190,13 +211,61 @@
         }
     }
 
+    /// Rows that state the leaders which this VM uses, for processes that have started in
+    /// this era of the store: to them, a row of an earlier era proves nothing.
+    fn confirmed_leaders(&self) -> Vec<event::RowChange> {
+        if self.view.era(view::Part::Rows) == 0 {
+            return Vec::new();
+        }
+        let is_used = |group: &Name| {
+            let state = self.groups.get(group);
+            state.is_some_and(|state| {
+                state.group.silence(self.now).is_zero() && state.handover.is_idle()
+            })
+        };
+        let earlier = self.view.earlier_leaders();
+        let earlier = earlier.filter(|(group, _, _)| is_used(group));
+        let mut changes: Vec<_> = earlier
+            .map(|(_, version, row)| self.row_change(row.key(), version, Some(row.clone())))
+            .collect();
+        for (group, state) in self.groups.iter().filter(|(group, _)| is_used(group)) {
+            let declared = state.group.confirmation(self.now);
+            let declared = declared.filter(|_| self.view.leader(group).is_none());
+            let leader = declared.and_then(|declared| {
+                let start = state.group.known_position(&declared.primary)?;
+                Some(leader::Leader {
+                    instance: Some(declared.primary),
+                    term: declared.term,
+                    start: Some(start).filter(|start| start.term == declared.term)?,
+                    claim: None,
+                })
+            });
+            changes.extend(leader.map(|leader| {
+                let row = event::Row::Leader(group.clone(), leader);
+                self.row_change(row.key(), self.view.stored_version(&row.key()), Some(row))
+            }));
+        }
+        changes
+    }
+
+    /// Delay before this VM corrects the rows, by its place among the live VMs. VMs that
+    /// have registered since the store came back know nothing to correct.
     fn restore_delay(&self) -> std_time::Duration {
         if self.is_region_reader() {
             return std_time::Duration::ZERO;
         }
         let own = self.members.own_member();
+        let era = self.view.era(view::Part::Rows);
+        let is_earlier = |vm: &Name| {
+            let key = event::RowKey::Member(vm.clone());
+            let written = self.view.row(&key).map_or(0, |(version, _)| *version);
+            version::Version::from(written).era() < era
+        };
         let live = self.members.live_members(self.now);
-        let rank = live.iter().position(|member| *member == own);
+        let mut live = live
+            .iter()
+            .filter(|member| **member == own || is_earlier(&member.vm));
+        let rank = live.position(|member| *member == own);
         RESTORE_STAGGER * rank.map_or(u32::MAX, |rank| u32::try_from(rank).unwrap_or(u32::MAX))
     }
 
@@ -508,12 +577,14 @@
             let Some(sampled_at) = sent.before(age) else {
                 continue;
             };
+            let now = self.now;
             if let Some(state) = self.groups.get_mut(&position.group) {
-                state.group.record_peer_sample(sample::Sample {
+                let sample = sample::Sample {
                     sent: sampled_at,
                     position: position.floor,
                     source: sample::Source::Peer(from.clone()),
-                });
+                };
+                state.group.record_peer_sample(sample, now);
             }
         }
     }
--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -149,6 +149,8 @@
     /// Instances that are known to leave, which the store does not state because it came
     /// back from an older copy.
     outdated_instances: collections::BTreeSet<Name>,
+    /// Era of the store since which this process has known the rows without a gap.
+    known_from: u64,
     change_log: change_log::Log,
 }
 
@@ -175,6 +177,9 @@
         if known.is_some_and(|known| version < known) {
             return false;
         }
+        if known.is_none() && part == Part::Rows {
+            self.known_from = era(version);
+        }
         let is_new_era = known.is_some_and(|known| era(version) > era(known));
         let is_compared = update.whole && update.is_direct && part == Part::Rows;
         let is_first = is_compared && self.is_uncompared;
@@ -318,6 +323,40 @@
         outdated.map(|(key, stored)| (key, *stored, self.rows.get(key).map(|(_, row)| row)))
     }
 
+    /// Records that this VM was without a valid view when the store came back from an
+    /// older copy, so that it has missed what the store has lost.
+    pub fn record_gap(&mut self) {
+        self.known_from = self.era(Part::Rows);
+    }
+
+    /// Whether the row of a group's leader, or its absence, proves who leads. After a
+    /// restore, a row of an earlier era may be one that had been replaced. Only a process
+    /// that has known the rows all the time can tell.
+    pub fn is_leader_proven(&self, group: &Name) -> bool {
+        let written = self.leader(group).map_or(0, |(version, _)| version);
+        version::Version::from(written).era() >= self.known_from
+    }
+
+    /// Whether the store may have lost rows that this VM has never known.
+    pub fn has_gap(&self) -> bool {
+        self.known_from > 0 && self.known_from == self.era(Part::Rows)
+    }
+
+    /// Rows of leaders from an earlier era that still hold, as this VM has known the rows
+    /// without a gap.
+    pub fn earlier_leaders(&self) -> impl Iterator<Item = (&Name, u64, &event::Row)> {
+        let era = self.era(Part::Rows);
+        self.rows.iter().filter_map(move |(key, (written, row))| {
+            let event::Row::Leader(group, leader) = row else {
+                return None;
+            };
+            let is_earlier = version::Version::from(*written).era() < era;
+            let is_settled = leader.claim.is_none() && !self.outdated_rows.contains_key(key);
+            (is_earlier && is_settled && self.is_leader_proven(group))
+                .then_some((group, *written, row))
+        })
+    }
+
     /// Whether the store may have lost rows that this VM knows only from another VM.
     pub fn is_uncompared(&self) -> bool {
         self.is_uncompared
@@ -544,7 +583,7 @@
     }
 
     /// Leader that the rows assign to the group, for use until `until`; none while
-    /// a claim is in progress. `token` is the highest token of a claim that a peer
+    /// a claim is in progress, or if the rows prove nothing. `token` is the highest token of a claim that a peer
     /// or this daemon has announced: older versions of the row do not count.
     pub fn assigned_leader(
         &self,
@@ -552,6 +591,9 @@
         until: time::Time,
         token: u64,
     ) -> Option<leader::Assignment> {
+        if !self.is_leader_proven(group) {
+            return None;
+        }
         let Some((version, row)) = self.leader(group) else {
             let instance = self.declared_primary(group).filter(|_| token == 0)?;
             return Some(leader::Assignment {
