Promote only an instance that is proved to have each acknowledged commit

Cause: syncReplicaCount was dropped by the decoder, and the new leader was chosen as where the primary alone acknowledges: after 400 ms, by what had answered, the old leader left out, after a rejected order the next one.

Change (Durability::Replica, handover/synchronous.rs): a candidate needs a proof: all other instances have stated their positions and none has more, or the old leader has stated one that no longer grows. An instance that has gone, or has lost its log, counts as one that has not answered. Without proof there is no order; the old leader is asked to step down once it answers, and is promoted, or goes on if the replacement is planned. From 2 s without a leader on, writes are refused at once as not run. A configuration with syncReplicaCount 0 gives up.

A first form that let the old leader go on in place of a promotion was dropped: an order of an earlier holder may be under way, and the case cannot judge it.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -526,6 +526,12 @@
         let problem = failure::Problem::EmptyGroup(name.to_string());
         return Err((raw.name.referenced.line(), problem));
     }
+    // Where the instances arbitrate, a majority of them does not prove that such a commit is
+    // known.
+    if raw.durability == fleet::Durability::Replica {
+        let problem = failure::Problem::Durability(name.to_string());
+        return Err((raw.name.referenced.line(), problem));
+    }
     let instances: Result<Vec<_>, _> = raw.instances.iter().map(parse_instance).collect();
     let value = fleet::Group {
         durability: raw.durability,
--- a/components/config/src/failure.rs
+++ b/components/config/src/failure.rs
@@ -56,6 +56,9 @@
     /// A group without instances, which has no majority.
     #[display("group `{_0}` has no instance; list at least one")]
     EmptyGroup(String),
+    /// A group whose durability only the platform's configuration can state.
+    #[display("group `{_0}`: durability must be `majority` or `primary`")]
+    Durability(String),
     /// A route that is open and names customers, or is neither.
     #[display("route `{_0}` must either be open or name its customers")]
     RouteAccess(String),
--- a/components/config/src/fleet.rs
+++ b/components/config/src/fleet.rs
@@ -15,6 +15,8 @@
     Majority,
     /// The commit at the primary; the group itself replicates synchronously.
     Primary,
+    /// The commit at the primary, which waits until one replica has received it.
+    Replica,
 }
 
 /// One database instance.
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -13,6 +13,11 @@
 /// Longest wait of a request for a token that peers may send.
 const MAX_TRANSFER_WAIT: std_time::Duration = std_time::Duration::from_millis(200);
 
+/// Time in which a lost leader is replaced if nothing is missing.
+const LEADERLESS_LIMIT: std_time::Duration = std_time::Duration::from_millis(2_000);
+/// Retry hint in a refusal while it is not known when there will be a leader.
+const LEADERLESS_RETRY_MS: u32 = 1_000;
+
 impl daemon::Daemon {
     pub(crate) fn open_session(&mut self, request: &event::SessionRequest) {
         let id = request.session;
@@ -294,6 +299,23 @@
         }
         self.dispatch(&group);
         self.refuse_evacuated(&group);
+        self.refuse_leaderless(&group);
+    }
+
+    /// Refuses the waiting writes of a group whose commits wait for a replica, if it has been
+    /// without a leader for longer than a replacement takes: nobody knows when the instances
+    /// answer that may have its last commits.
+    pub(crate) fn refuse_leaderless(&mut self, group: &Name) {
+        let Some(state) = self.groups.get_mut(group) else {
+            return;
+        };
+        if !state.group.is_synchronous() || !state.group.is_leaderless(LEADERLESS_LIMIT, self.now) {
+            return;
+        }
+        for item in state.write_queue.extract_if(&mut |_| true) {
+            let refusal = Refusal::new(Cause::Unavailable, LEADERLESS_RETRY_MS);
+            self.refuse(&item.request, refusal);
+        }
     }
 
     pub(crate) fn refuse(&mut self, request: &event::Request, refusal: Refusal) {
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -376,6 +376,7 @@
         for group in &groups {
             self.refuse_expired(group);
             self.refuse_evacuated(group);
+            self.refuse_leaderless(group);
             self.refuse_outside_homes(group);
             self.break_silent_connections(group);
             self.step_promotion(group);
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -146,6 +146,11 @@
     failing_since: Option<time::Time>,
     /// Time from which the leader counts as silent because it is not registered.
     absent_since: Option<time::Time>,
+    /// Instances that have gone without leaving since the leader was assigned, with the
+    /// position of the leader by then: they may have commits up to it.
+    departed: collections::BTreeMap<Name, position::Position>,
+    /// Positions that instances had reached before they restarted.
+    former_positions: collections::BTreeMap<Name, position::Position>,
     sampling: Sampling,
 }
 
@@ -201,6 +206,8 @@
             leader_demoted: false,
             failing_since: None,
             absent_since: None,
+            departed: collections::BTreeMap::new(),
+            former_positions: collections::BTreeMap::new(),
             sampling: Sampling::default(),
         };
         group.configure(config, now);
@@ -217,6 +224,7 @@
         self.durability = config.durability;
         let members: collections::BTreeSet<_> = config.instances.iter().map(|i| &i.name).collect();
         let knew_leader = self.is_leader_registered();
+        self.record_departures(&members);
         self.instances.retain(|name, _| members.contains(name));
         for instance in &config.instances {
             let state = self.instances.entry(instance.name.clone()).or_default();
@@ -492,7 +500,7 @@
 
     /// Whether enough instances hold the position to acknowledge a commit.
     pub fn is_durable(&self, target: position::Position) -> bool {
-        if self.durability == Durability::Primary {
+        if self.durability != Durability::Majority {
             return true;
         }
         // The position was reported by the primary, so the primary holds it.
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -2,7 +2,7 @@
 //! the positions that come with answers, and the backoff of connections to
 //! instances.
 
-use std::time as std_time;
+use std::{collections, time as std_time};
 
 use config::Name;
 
@@ -151,8 +151,46 @@
         }
     }
 
+    /// Whether a commit is acknowledged once one replica has received it, so that an
+    /// instance may lead only if it is proved to have each of them.
+    pub fn is_synchronous(&self) -> bool {
+        self.arbiter == Arbiter::Store && self.durability == config::Durability::Replica
+    }
+
+    /// Records the instances that are gone although they have not said that they leave.
+    pub(super) fn record_departures(&mut self, members: &collections::BTreeSet<&Name>) {
+        self.departed.retain(|name, _| !members.contains(name));
+        let reached = self.newest_floor().unwrap_or_default();
+        for (name, state) in &self.instances {
+            if !members.contains(name) && !state.leaving {
+                self.departed.insert(name.clone(), reached);
+            }
+        }
+    }
+
+    /// Instances that are gone, with the positions up to which they may have commits.
+    pub fn departed(&self) -> &collections::BTreeMap<Name, position::Position> {
+        &self.departed
+    }
+
+    /// Whether an instance reports less than it had reached before it restarted: it has
+    /// lost commits, so that its answer tells nothing of those.
+    pub fn has_lost_commits(&self, instance: &Name, reported: position::Position) -> bool {
+        let former = self.former_positions.get(instance);
+        former.is_some_and(|former| reported < *former)
+    }
+
+    /// Whether the group has had no leader for this time.
+    pub fn is_leaderless(&self, limit: std_time::Duration, now: time::Time) -> bool {
+        self.assignment.is_none() && now.since(self.term_changed) >= limit
+    }
+
     /// Resets the state of an instance that has restarted.
     pub fn reset_instance(&mut self, instance: &Name) {
+        if let Some(reached) = self.known_position(instance) {
+            let former = self.former_positions.entry(instance.clone()).or_default();
+            *former = (*former).max(reached);
+        }
         if let Some(state) = self.instances.get_mut(instance) {
             *state = InstanceState {
                 min_rtt: state.min_rtt,
@@ -346,6 +384,12 @@
             self.failing_since = None;
             self.absent_since = None;
         }
+        let is_new_term = |assignment: &leader::Assignment| assignment.term > self.newest_term;
+        if assignment.as_ref().is_some_and(is_new_term) {
+            // What counts from here on are the commits of the new leader.
+            self.departed.clear();
+            self.former_positions.clear();
+        }
         if let Some(assignment) = &assignment {
             self.newest_term = self.newest_term.max(assignment.term);
         }
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -20,6 +20,7 @@
 mod proof;
 mod resume;
 mod stage;
+mod synchronous;
 
 pub use note::{Note, Reason};
 use resume::Resume;
@@ -442,7 +443,12 @@
             .evacuation
             .filter(|_| answers)
             .map(|limits| limits.since.max(earliest.unwrap_or_default()));
-        let since = state.leaving_since.or(evacuated_since);
+        // The same holds for a leader that went on because no replica has its commits.
+        let earliest = earliest.filter(|_| context.group.is_synchronous());
+        let leaving_since = state
+            .leaving_since
+            .map(|since| since.max(earliest.unwrap_or_default()));
+        let since = leaving_since.or(evacuated_since);
         since.is_some_and(is_due) && has_staying
     }
 
@@ -529,6 +535,8 @@
             claim_sent: context.now,
             token: None,
             last_poll: time::Time::default(),
+            is_takeover: has_earlier,
+            is_unproved_noted: false,
             stage: Stage::Claiming,
         });
     }
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -44,6 +44,15 @@
         /// Highest position known of the instance.
         known: position::Position,
     },
+    /// No candidate is proved to have every acknowledged commit.
+    #[display(
+        "no candidate is proved to have every commit: {} may have more and have not answered",
+        list(missing)
+    )]
+    Unproved {
+        /// Instances that are waited for.
+        missing: Vec<Name>,
+    },
     /// Only instances of abandoned branches have answered; the best of them is used.
     #[display(
         "{instance} is on an abandoned branch at {position}: the last term began at {start}, and no instance of it answers"
@@ -84,8 +93,8 @@
         /// Time since the claim was sent, in ms.
         took_ms: u64,
     },
-    /// The leader stays, since no instance outside of the evacuated failure domains has
-    /// all its commits.
+    /// The leader stays, since no instance that may replace it is known to have all its
+    /// commits.
     #[display("{instance} stays: no instance that may lead has every commit up to {received}")]
     Kept {
         /// Leader that stays.
@@ -115,6 +124,12 @@
     },
 }
 
+/// Names in one line.
+fn list(names: &[Name]) -> String {
+    let names: Vec<&str> = names.iter().map(|name| &***name).collect();
+    names.join(", ")
+}
+
 /// Reason for giving up a replacement.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -5,14 +5,14 @@
 
 use config::Name;
 
-use super::{CLAIM_LIFETIME, Context, Note, RETRY_DELAY, Step};
+use super::{CLAIM_LIFETIME, Context, Note, RETRY_DELAY, Step, synchronous};
 use crate::{event, group, leader, position, time};
 
 /// Time limit for a replica to reach the last position of the old leader in a
 /// planned replacement.
 const CATCH_UP_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
 /// Time limit for the replicas to confirm that replication is paused.
-const PAUSE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
+pub(super) const PAUSE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
 /// Time limit for the pause of a replica that is known to be ahead of all that have
 /// confirmed.
 const AHEAD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_500);
@@ -61,6 +61,23 @@
     },
 }
 
+/// Requests to pause replication, and the positions of those that have confirmed.
+pub(super) struct Pauses {
+    pub(super) requests: collections::BTreeMap<Name, PauseRequest>,
+    pub(super) paused: collections::BTreeMap<Name, position::Position>,
+}
+
+impl Pauses {
+    /// Stage that goes on waiting for the rest.
+    pub(super) fn wait(self, since: time::Time) -> Stage {
+        Stage::Pausing {
+            since,
+            requests: self.requests,
+            paused: self.paused,
+        }
+    }
+}
+
 /// Last request to a replica to pause replication.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum PauseRequest {
@@ -87,6 +104,8 @@
     pub(super) planned: bool,
     /// Whether the leader may keep the group: it was claimed because of an evacuation.
     pub(super) may_keep: bool,
+    /// Whether the holder of an earlier claim may still have an order under way.
+    pub(super) is_takeover: bool,
     /// Whether VMs that this one does not know may use the leader, since the store may have
     /// lost their rows.
     pub(super) may_miss_users: bool,
@@ -96,6 +115,8 @@
     pub(super) claim_sent: time::Time,
     pub(super) token: Option<u64>,
     pub(super) last_poll: time::Time,
+    /// Whether a note says that no candidate is proved to have every commit.
+    pub(super) is_unproved_noted: bool,
     pub(super) stage: Stage,
 }
 
@@ -223,6 +244,17 @@
     if !attempt.may_keep || is_leaving || !is_leading {
         return None;
     }
+    Some(record_kept(attempt, instance, status, context, out))
+}
+
+/// Gives the group back to its leader.
+pub(super) fn record_kept(
+    attempt: &Attempt,
+    instance: Name,
+    status: position::Status,
+    context: &Context<'_>,
+    out: &mut Vec<Step>,
+) -> Stage {
     let known_start = context.leader.as_ref().map(|row| row.start);
     let received = position::Position {
         term: status.term,
@@ -244,10 +276,10 @@
         attempt.token.unwrap_or_default(),
         leader.clone(),
     ));
-    Some(Stage::Recording {
+    Stage::Recording {
         leader,
         sent: Some(context.now),
-    })
+    }
 }
 
 /// Position at which the recorded term began; term 0 if unknown.
@@ -258,7 +290,7 @@
 
 /// Whether a position is on an abandoned branch: the log has commits beyond the start of
 /// the recorded term, but not in that term.
-fn is_abandoned(position: position::Position, context: &Context<'_>) -> bool {
+pub(super) fn is_abandoned(position: position::Position, context: &Context<'_>) -> bool {
     let start = recorded_start(context);
     position.term < start.term && position.lsn > start.lsn
 }
@@ -320,7 +352,10 @@
         .filter(|name| attempt.old_leader.as_ref() != Some(*name))
         .collect();
     let (term, deadline) = (attempt.term.next(), attempt.deadline());
-    if let Some(old_leader) = attempt.old_leader.as_ref().filter(|_| requests.is_empty()) {
+    let is_synchronous = context.group.is_synchronous();
+    if let Some(old_leader) = attempt.old_leader.as_ref().filter(|_| requests.is_empty())
+        && !is_synchronous
+    {
         out.push(Step::Demote(old_leader.clone(), term, deadline));
     }
     for name in &replicas {
@@ -332,6 +367,10 @@
             requests.insert((*name).clone(), PauseRequest::Sent);
         }
     }
+    if is_synchronous {
+        let paused = Pauses { requests, paused };
+        return synchronous::choose(attempt, since, paused, context, out);
+    }
     let has_paused = |name: &&Name| paused.contains_key(*name);
     let is_complete = !replicas.is_empty() && replicas.iter().all(has_paused);
     let waited = context.now.since(since);
@@ -393,7 +432,7 @@
 
 /// Sorts the candidates by descending position, abandoned branches last. Of candidates
 /// with equal positions, those that may stay and those in this region come first.
-fn rank_candidates(
+pub(super) fn rank_candidates(
     mut candidates: Vec<(Name, position::Position)>,
     context: &Context<'_>,
 ) -> collections::VecDeque<(Name, position::Position)> {
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -183,6 +183,11 @@
             self.dispatch(vm, event::Event::ConnectionReleased(id, behind));
             return self.request_connection(vm, id, true);
         }
+        if is_write && self.is_synchronous && !self.replicate_commit(instance) {
+            // The commit waits for a replica; the caller waits for the commit.
+            self.open_connections[instance] += 1;
+            return self.schedule(STEP, Delivery::Complete(vm, id, grant.clone(), floor));
+        }
         if is_write {
             self.instances[instance].received += 1;
         } else {
@@ -217,6 +222,36 @@
         }
     }
 
+    /// Passes the next commit of an instance on to its replicas; false if none of them can
+    /// receive it.
+    fn replicate_commit(&mut self, instance: usize) -> bool {
+        let source = self.instances[instance].clone();
+        if source.is_unresponsive || source.replication_cut {
+            return false;
+        }
+        let mut is_received = false;
+        for fake in &mut self.instances {
+            let is_following = fake.is_alive && !fake.replication_paused && !fake.replication_cut;
+            let is_replica = fake.role == position::Role::Replica && fake.term <= source.term;
+            if is_following && is_replica && !fake.is_unresponsive {
+                fake.term = source.term;
+                fake.received = source.received + 1;
+                is_received = true;
+            }
+        }
+        is_received
+    }
+
+    /// Checks that the instance that is promoted has every acknowledged commit.
+    pub(super) fn check_promoted(&mut self, instance: usize) {
+        let acknowledged = self.commits.iter().map(|(_, lsn)| *lsn).max();
+        let received = self.instances[instance].received;
+        if self.is_synchronous && acknowledged.is_some_and(|lsn| lsn > received) {
+            let text = format!("db-{instance} was promoted without acknowledged commits");
+            self.violations.push(text);
+        }
+    }
+
     /// Checks that a read shows every commit that was acknowledged longer ago than
     /// the maximum age of the route.
     pub(super) fn check_age(&mut self, shown: u64) {
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -149,6 +149,8 @@
     pub granted: Vec<event::RequestId>,
     /// Whether the route `latest` is more urgent than the others.
     ranks_routes: bool,
+    /// Whether a commit waits until one replica has received it.
+    pub is_synchronous: bool,
     /// Granted requests: instance, and whether the grant names it as the primary.
     pub grants: Vec<(usize, bool)>,
     /// Grants with their times.
@@ -239,6 +241,8 @@
     pub ranks_routes: bool,
     /// Lease of VM 0, where it differs from that of the other VMs.
     pub first_lease_ms: Option<u64>,
+    /// Whether a commit waits until one replica has received it.
+    pub is_synchronous: bool,
 }
 
 impl Default for Options {
@@ -253,6 +257,7 @@
             warmup: None,
             ranks_routes: false,
             first_lease_ms: None,
+            is_synchronous: false,
         }
     }
 }
@@ -318,8 +323,13 @@
 fn document(sim: &Simulation) -> view::Document {
     let (revision, limit, connections) = (sim.revision, sim.rate_limit, sim.connections);
     let mut fleet = Fleet::default();
+    let durability = if sim.is_synchronous {
+        Durability::Replica
+    } else {
+        Durability::Primary
+    };
     let group = Group {
-        durability: Durability::Primary,
+        durability,
         warmup: sim.warmup,
         instances: Vec::new(),
     };
@@ -423,6 +433,7 @@
             busy_answers: 0,
             granted: Vec::new(),
             ranks_routes: options.ranks_routes,
+            is_synchronous: options.is_synchronous,
             grants: Vec::new(),
             grant_records: Vec::new(),
             arrivals: Vec::new(),
--- a/components/kernel/tests/store_arbiter/network.rs
+++ b/components/kernel/tests/store_arbiter/network.rs
@@ -104,6 +104,7 @@
             Delivery::Write(vm, write) => self.apply_write(vm, &write),
             Delivery::OrderPromotion(vm, order) => self.order_promotion(vm, &order),
             Delivery::Promote(instance) => {
+                self.check_promoted(instance);
                 let term = self.instances.iter().map(|fake| fake.term).max();
                 let fake = &mut self.instances[instance];
                 fake.role = position::Role::Primary;
