Tell absent, zero and fractional bounds apart

Cause: 0 stood for the absent value inside, and fractions were cut off, so the strictest bound that can be written was the loosest; the same for time limits, attempts, rates, warm-up rates and the idle time. A customer without a rate was refused everything, a rate below 1 too; settings with a fraction as tolerance, or without a bound, kept a daemon from its start.

Change: the types hold the absence (Option), rates are kept to a thousandth (config::Rate), each fraction goes to the side that keeps the promise. A route that allows statements no time refuses them as not run.

The fields change together, as they share the types.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -112,7 +112,7 @@
             .map(|name| testbed::RoutePlan {
                 name: name.clone(),
                 group: name.clone(),
-                age_ms: 0,
+                age_ms: None,
                 is_open: false,
             })
             .collect();
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -58,6 +58,12 @@
     with_line(span, parsed.map_err(|_| bad()))
 }
 
+/// A bound that a template fills in; none if the template had no value for it, which
+/// leaves the unit alone.
+fn optional_bound(span: Option<&Span<String>>) -> Option<&Span<String>> {
+    span.filter(|span| !matches!(span.value.trim(), "" | "ms" | "s"))
+}
+
 fn duration_or(
     span: Option<&Span<String>>,
     default: time::Duration,
@@ -132,7 +138,7 @@
     idle: Option<Span<String>>,
     wait: Option<Span<String>>,
     queue: Option<Span<u64>>,
-    tolerance: Option<Span<u64>>,
+    tolerance: Option<Span<f64>>,
     overage: Option<Span<f64>>,
 }
 
@@ -164,6 +170,8 @@
     arbiter: Option<Span<String>>,
 }
 
+/// Largest tolerance, in requests.
+const MAX_TOLERANCE: f64 = 1_048_576.0;
 /// Share of the `revocation` bound after which keyed requests are refused. The rest
 /// covers requests in progress; the age of the known configuration is exact.
 const REVOCATION_PERCENT: u32 = 90;
@@ -206,16 +214,21 @@
     Ok(usize::try_from(value << 20).unwrap_or(usize::MAX))
 }
 
-fn parse_tolerance(span: Option<&Span<u64>>) -> LocatedResult<u32> {
-    let value = span.map_or(Ok(0), |s| check_range(s, "limits.tolerance", 0, 1 << 20))?;
-    Ok(u32::try_from(value).unwrap_or(u32::MAX))
+/// Whole requests of a tolerance.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn parse_tolerance(span: &Span<f64>) -> LocatedResult<u32> {
+    if (0.0..=MAX_TOLERANCE).contains(&span.value) {
+        return Ok(span.value as u32);
+    }
+    let problem = failure::Problem::OutOfRange("limits.tolerance", 0, MAX_TOLERANCE as u64);
+    Err((span.referenced.line(), problem))
 }
 
-/// Converts a fraction from 0 to 1 to percent.
+/// Converts a fraction from 0 to 1 to millionths.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn parse_percent(span: &Span<f64>) -> LocatedResult<u32> {
+fn parse_millionths(span: &Span<f64>) -> LocatedResult<u32> {
     if (0.0..=1.0).contains(&span.value) {
-        return Ok((span.value * 100.0) as u32);
+        return Ok((span.value * 1e6).round() as u32);
     }
     let problem = failure::Problem::OutOfRange("limits.overage", 0, 1);
     Err((span.referenced.line(), problem))
@@ -232,8 +245,8 @@
             idle_timeout: duration_or(raw.idle.as_ref(), ms(30_000))?,
             wait_timeout: duration_or(raw.wait.as_ref(), ms(5_000))?,
             queue_length: limit_or(raw.queue.as_ref(), 256, "limits.queue", 1 << 20)?,
-            burst_tolerance: parse_tolerance(raw.tolerance.as_ref())?,
-            overage_percent: raw.overage.as_ref().map_or(Ok(0), parse_percent)?,
+            burst_tolerance: raw.tolerance.as_ref().map_or(Ok(0), parse_tolerance)?,
+            overage_ppm: raw.overage.as_ref().map_or(Ok(0), parse_millionths)?,
         })
     }
 }
@@ -258,11 +271,12 @@
         // The limits stay below the promised bounds, so that requests in progress
         // also end within them.
         let share_of = |bound: time::Duration, percent| bound * percent / 100;
-        let refusal_timeout = match &raw.revocation {
+        let revocation = optional_bound(raw.revocation.as_ref());
+        let refusal_timeout = match revocation {
             Some(bound) => share_of(parse_duration(bound)?, REVOCATION_PERCENT),
             None => ms(2_000),
         };
-        let drain = match &raw.draining {
+        let drain = match optional_bound(raw.draining.as_ref()) {
             Some(bound) => share_of(parse_duration(bound)?, DRAINING_PERCENT),
             None => ms(5_000),
         };
@@ -272,7 +286,7 @@
         Ok(Self {
             // With a bound on revocation, a term confirmation is not valid for longer
             // than the known keys.
-            lease: if raw.revocation.is_some() {
+            lease: if revocation.is_some() {
                 lease.min(refusal_timeout)
             } else {
                 lease
@@ -282,7 +296,7 @@
             gossip_period: duration_or(raw.gossip.as_ref(), ms(100))?,
             refusal_timeout,
             platform_period: duration_or(raw.platform.as_ref(), ms(1_000))?,
-            stop_timeout: duration_or(raw.stop.as_ref(), ms(30_000))?,
+            stop_timeout: duration_or(optional_bound(raw.stop.as_ref()), ms(30_000))?,
             leave_period: duration_or(raw.leave.as_ref(), ms(0))?,
             drain_timeout: duration_or(raw.drain.as_ref(), drain)?,
             evacuation_timeout: evacuation_timeout(evacuation),
@@ -489,7 +503,7 @@
         .as_ref()
         .map_or(Ok(1), |w| check_count(w, "weight"))?;
     let value = fleet::Customer {
-        rate: check_count(&raw.rate, "rate")?,
+        rate: Some(check_count(&raw.rate, "rate")?.into()),
         burst: check_count(&raw.burst, "burst")?,
         weight,
         keys,
@@ -549,12 +563,12 @@
     }
     let customers: Result<collections::BTreeSet<_>, _> =
         raw.customers.iter().map(parse_name).collect();
-    let age = duration_or(raw.age.as_ref(), time::Duration::ZERO)?;
+    let age = raw.age.as_ref().map(parse_duration).transpose()?;
     let value = fleet::Route {
         database: raw.database.clone(),
         customers: customers?,
         open: raw.open,
-        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         homes: parse_homes(&raw.homes)?,
         ..fleet::Route::new(parse_name(&raw.group)?)
     };
--- a/components/config/src/environment.rs
+++ b/components/config/src/environment.rs
@@ -34,7 +34,8 @@
     let Some(text) = variable(name).filter(|text| !text.is_empty()) else {
         return Ok(None);
     };
-    let number = text.parse().ok();
+    // A fraction is cut off, but does not become 0.
+    let number = text.parse().ok().or_else(|| parse_fraction(&text));
     let number = number.filter(|number| (1..=most).contains(number));
     let failure = || failure::Failure {
         file: "environment".into(),
@@ -43,3 +44,15 @@
     };
     number.map(Some).ok_or_else(failure)
 }
+
+/// Whole part of a number that is not negative, 1 at least unless the number is 0.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn parse_fraction(text: &str) -> Option<u64> {
+    let number: f64 = text.parse().ok()?;
+    let is_valid = number.is_finite() && number >= 0.0;
+    is_valid.then_some(if number > 0.0 {
+        number.max(1.0) as u64
+    } else {
+        0
+    })
+}
--- a/components/config/src/fleet.rs
+++ b/components/config/src/fleet.rs
@@ -42,7 +42,7 @@
 pub struct Warmup {
     /// Time for which an instance is cold, in ms.
     pub period_ms: u64,
-    /// Requests per second that a cold instance gets from the whole fleet.
+    /// Requests per second that a cold instance gets from the whole fleet; 0 for no request.
     pub rate: u32,
 }
 
@@ -59,12 +59,56 @@
     pub instances: Vec<Instance>,
 }
 
+/// Requests per second, to a thousandth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rate(u64);
+
+/// Error for a rate that is negative, not a number or too large.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+#[display("the rate is not a number of requests per second")]
+pub struct InvalidRate;
+
+impl Rate {
+    /// Highest rate.
+    const MAX_PER_SECOND: f64 = 1e12;
+
+    /// Requests in 1,000 seconds.
+    pub fn per_thousand_seconds(self) -> u64 {
+        self.0
+    }
+
+    /// Whether no request is allowed.
+    pub fn is_zero(self) -> bool {
+        self.0 == 0
+    }
+}
+
+impl From<u32> for Rate {
+    fn from(per_second: u32) -> Self {
+        Self(u64::from(per_second) * 1000)
+    }
+}
+
+impl TryFrom<f64> for Rate {
+    type Error = InvalidRate;
+
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn try_from(per_second: f64) -> Result<Self, Self::Error> {
+        let is_valid = (0.0..=Self::MAX_PER_SECOND).contains(&per_second);
+        let thousandths = (per_second * 1000.0).round();
+        is_valid
+            .then_some(Self(thousandths as u64))
+            .ok_or(InvalidRate)
+    }
+}
+
 /// A customer with its limits and keys.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Customer {
-    /// Transactions per second in the whole fleet.
-    pub rate: u32,
+    /// Rate of transactions in the whole fleet; none if it is not limited.
+    pub rate: Option<Rate>,
     /// Size of a burst of transactions above the rate.
     pub burst: u32,
     /// Share of a contended connection pool, relative to other customers.
@@ -102,23 +146,23 @@
     pub customers: collections::BTreeSet<name::Name>,
     /// Whether callers need no key.
     pub open: bool,
-    /// Age of the data that reads accept, in ms; 0 for reads of the session's own writes.
-    pub age_ms: u64,
+    /// Age of the data that reads accept, in ms; none for reads of the session's own writes.
+    pub age_ms: Option<u64>,
     /// Which writes reads must see.
     #[serde(default)]
     pub reads: ReadConsistency,
-    /// Longest run time of a statement at an instance, in ms; 0 for no limit.
+    /// Longest run time of a statement at an instance, in ms; none for no limit.
     #[serde(default)]
-    pub statement_ms: u64,
-    /// Target latency of requests, in ms; 0 for none.
+    pub statement_ms: Option<u64>,
+    /// Target latency of requests, in ms.
     #[serde(default)]
-    pub target_ms: u64,
+    pub target_ms: Option<u64>,
     /// Priority under load; 0 is the highest.
     #[serde(default)]
     pub priority: u32,
-    /// Attempts for a request, the first one included; 0 if not set.
+    /// Attempts for a request, the first one included.
     #[serde(default)]
-    pub attempts: u32,
+    pub attempts: Option<u32>,
     /// Regions in which requests may run, besides the caller's own; empty if they may run
     /// in any region.
     #[serde(default)]
@@ -133,12 +177,12 @@
             database: String::new(),
             customers: collections::BTreeSet::new(),
             open: false,
-            age_ms: 0,
+            age_ms: None,
             reads: ReadConsistency::default(),
-            statement_ms: 0,
-            target_ms: 0,
+            statement_ms: None,
+            target_ms: None,
             priority: 0,
-            attempts: 0,
+            attempts: None,
             homes: collections::BTreeSet::new(),
         }
     }
@@ -157,10 +201,10 @@
     /// Failure domains whose instances get no requests, on the operators' request.
     #[serde(default)]
     pub evacuated: collections::BTreeSet<name::Name>,
-    /// Time for which a transaction may stay idle, in ms; 0 for the limit in the
+    /// Time for which a transaction may stay idle, in ms; none for the limit in the
     /// daemon's settings.
     #[serde(default)]
-    pub idle_ms: u64,
+    pub idle_ms: Option<u64>,
 }
 
 impl Fleet {
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -17,7 +17,9 @@
 
 pub use document::{Origin, read_note, read_settings};
 pub use failure::{Failure, Problem};
-pub use fleet::{Customer, Durability, Fleet, Group, Instance, ReadConsistency, Route, Warmup};
+pub use fleet::{
+    Customer, Durability, Fleet, Group, Instance, InvalidRate, Rate, ReadConsistency, Route, Warmup,
+};
 pub use key::KeyDigest;
 pub use name::Name;
 pub use note::{Change, Entry, Note, Withdrawal};
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -39,8 +39,8 @@
     pub queue_length: usize,
     /// Requests above a customer's rate and burst that are tolerated in a window.
     pub burst_tolerance: u32,
-    /// Part of its rate and burst by which a customer may exceed them, in percent.
-    pub overage_percent: u32,
+    /// Part of its rate and burst by which a customer may exceed them, in millionths.
+    pub overage_ppm: u32,
 }
 
 /// Limits on what callers may take of the process.
--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -271,3 +271,73 @@
         assert!(apply(memory, evacuation).is_err(), "{memory} {evacuation}");
     }
 }
+
+// Guards against a daemon that does not start because a template fills in a fraction, or no
+// value.
+#[test]
+fn bounds_of_a_template_may_be_absent_zero_or_fractions() {
+    let read = |limits: &str, timing: &str| {
+        let text = SETTINGS.replace("limits:", &format!("limits:\n{limits}"));
+        let text = text.replace("timing:", &format!("timing:\n{timing}"));
+        let read = read_settings(&text, &origin());
+        read.unwrap_or_else(|failure| panic!("{limits}{timing}: {failure}"))
+    };
+    for (raw, requests) in [("", 0), ("0", 0), ("0.5", 0), ("20.0", 20), ("2.5", 2)] {
+        let settings = read(&format!("  tolerance: {raw}"), "");
+        assert_eq!(settings.limits.burst_tolerance, requests, "{raw}");
+    }
+    for (raw, millionths) in [
+        ("", 0),
+        ("0", 0),
+        ("0.005", 5_000),
+        ("0.29", 290_000),
+        ("1", 1_000_000),
+    ] {
+        let settings = read(&format!("  overage: {raw}"), "");
+        assert_eq!(settings.limits.overage_ppm, millionths, "{raw}");
+    }
+    let none = read("", "").timing;
+    for key in ["revocation", "draining"] {
+        let timing = read("", &format!("  {key}: ms")).timing;
+        assert_eq!(timing.refusal_timeout, none.refusal_timeout, "{key}");
+        assert_eq!(timing.drain_timeout, none.drain_timeout, "{key}");
+        assert_eq!(timing.lease, none.lease, "{key}");
+    }
+    assert_eq!(read("", "  stop: s").timing.stop_timeout, none.stop_timeout);
+    let timing = read("", "  stop: 2.5s\n  draining: 0ms").timing;
+    assert_eq!(timing.stop_timeout.as_millis(), 2_500);
+    assert!(timing.drain_timeout.is_zero());
+}
+
+// Guards against a memory limit with a fraction that keeps a daemon from its start.
+#[test]
+fn a_variable_may_be_a_fraction_but_not_zero() {
+    let memory = |text: &str| {
+        let mut settings = read_settings(SETTINGS, &origin()).expect("valid settings");
+        let variable =
+            |name: &str| (name == config::environment::MEMORY_VARIABLE).then(|| text.to_string());
+        config::environment::apply(&mut settings, &variable)?;
+        Ok::<_, config::Failure>(settings.intake.memory_bytes >> 20)
+    };
+    assert_eq!(memory("").expect("none"), 4096);
+    for (text, mib) in [("260", 260), ("260.0", 260), ("260.7", 260), ("0.5", 1)] {
+        assert_eq!(memory(text).expect("a number"), mib, "{text}");
+    }
+    for text in ["0", "0.0", "-1", "x", "inf"] {
+        assert!(memory(text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn an_age_of_zero_is_not_none() {
+    let age = |note: &str| {
+        let note = read_note(note, &origin()).expect("a valid note");
+        let fleet = note.apply(&Fleet::default());
+        fleet.expect("a note that can be applied").routes["orders"].age_ms
+    };
+    let route = "customers: [tienda]";
+    assert!(NOTE.contains(route));
+    let zero = NOTE.replace(route, "customers: [tienda], age: 0s");
+    assert_eq!(age(&zero), Some(0));
+    assert_eq!(age(NOTE), None);
+}
--- a/components/daemon/src/dialect_session/mod.rs
+++ b/components/daemon/src/dialect_session/mod.rs
@@ -24,6 +24,8 @@
 const RETRY_PAUSE: std_time::Duration = std_time::Duration::from_millis(15);
 /// Time limit of a statement on a route that sets none.
 const DEFAULT_STATEMENT_LIMIT: std_time::Duration = std_time::Duration::from_secs(5);
+/// Retry hint in the refusal of a statement whose route allows no time.
+const NO_TIME_RETRY_MS: u32 = 1_000;
 /// Retry hint in a refusal for which no memory is free.
 const FULL_RETRY_MS: u32 = 1_000;
 /// Memory of a kept value or statement besides its bytes.
@@ -245,10 +247,8 @@
     fn read_timeout(&self) -> std_time::Duration {
         let is_open = self.transaction.as_ref().is_some_and(|t| !t.has_failed);
         let idle_ms = self.runtime.fleet().idle_ms;
-        let limit = match idle_ms {
-            0 => self.runtime.settings.limits.idle_timeout,
-            ms => std_time::Duration::from_millis(ms),
-        };
+        let own_limit = self.runtime.settings.limits.idle_timeout;
+        let limit = idle_ms.map_or(own_limit, std_time::Duration::from_millis);
         if is_open {
             limit
         } else {
@@ -316,6 +316,10 @@
             dialect::Statement::Commit if self.transaction.is_none() => {
                 return self.refuse(None, &Refusal::new(Cause::Protocol, 0));
             }
+            dialect::Statement::Commit if self.has_no_time() => {
+                let refusal = Refusal::new(Cause::TransactionLost, 0);
+                return self.end_with_rollback(links, call, Some(refusal));
+            }
             dialect::Statement::Commit => return self.commit(links, call),
             dialect::Statement::Read => (dialect::Execution::Plain(call), false),
             dialect::Statement::Write => (dialect::Execution::Plain(call), true),
@@ -344,6 +348,10 @@
         links: &links::Links,
         planned: &PlannedCall<'_>,
     ) -> Result<(), dialect::CallerFailure> {
+        if self.has_no_time() {
+            let refusal = Refusal::new(Cause::Unavailable, NO_TIME_RETRY_MS);
+            return self.fail(Some(planned.call), &refusal);
+        }
         if self.transaction.is_some() {
             self.run_in_transaction(links, planned)
         } else {
@@ -351,23 +359,20 @@
         }
     }
 
+    /// Whether the route allows statements no time, so that none can be served.
+    fn has_no_time(&self) -> bool {
+        self.statement_limits().0.is_zero()
+    }
+
     /// Time limit of a statement on this route, and number of attempts of a read.
     fn statement_limits(&self) -> (std_time::Duration, u32) {
         let fleet = self.runtime.fleet();
         let route = fleet.routes.get(self.route.as_str());
-        let limit = route.map_or(0, |route| route.statement_ms);
-        let attempts = route.map_or(0, |route| route.attempts);
-        let limit = match limit {
-            0 => DEFAULT_STATEMENT_LIMIT,
-            ms => std_time::Duration::from_millis(ms),
-        };
+        let limit = route.and_then(|route| route.statement_ms);
+        let attempts = route.and_then(|route| route.attempts);
         (
-            limit,
-            if attempts == 0 {
-                DEFAULT_READ_ATTEMPTS
-            } else {
-                attempts
-            },
+            limit.map_or(DEFAULT_STATEMENT_LIMIT, std_time::Duration::from_millis),
+            attempts.unwrap_or(DEFAULT_READ_ATTEMPTS),
         )
     }
 
--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -71,13 +71,12 @@
         if !is_allowed {
             return Err(Refusal::new(Cause::RouteForbidden, 0));
         }
-        let age = std_time::Duration::from_millis(route.age_ms);
         Ok(sessions::Session {
             key_digest: if is_open { None } else { request.digest },
             customer,
             route: name.clone(),
             group: route.group.clone(),
-            max_age: (!age.is_zero()).then_some(age),
+            max_age: route.age_ms.map(std_time::Duration::from_millis),
             floor: request.token,
             reads: route.reads,
             opened_at: self.now,
@@ -139,8 +138,7 @@
             return;
         };
         if let Some(route) = fleet.routes.get(&session.route) {
-            let age = std_time::Duration::from_millis(route.age_ms);
-            session.max_age = (!age.is_zero()).then_some(age);
+            session.max_age = route.age_ms.map(std_time::Duration::from_millis);
             session.reads = route.reads;
             if session.group != route.group {
                 // Positions of one group mean nothing in another.
@@ -271,7 +269,8 @@
             _ => event::Access::Write,
         };
         let route = self.fleet().routes.get(&session.route);
-        let target = std_time::Duration::from_millis(route.map_or(0, |route| route.target_ms));
+        let target = route.and_then(|route| route.target_ms);
+        let target = target.map(std_time::Duration::from_millis);
         let cold_wait = match access {
             event::Access::Read => None,
             event::Access::Write => match self.check_cold_leader(&group, target) {
--- a/components/kernel/src/budget/holders.rs
+++ b/components/kernel/src/budget/holders.rs
@@ -19,7 +19,7 @@
 use config::Name;
 
 use super::{
-    Budgets, MAX_SHARING_MEMBERS, MICRO_TOKENS_PER_REQUEST, Resource, Share, Transfer,
+    Budgets, MAX_SHARING_MEMBERS, MICRO_TOKENS_PER_REQUEST, RATE_PERIOD, Resource, Share, Transfer,
     TransferRequest,
 };
 use crate::{event, rendezvous, time};
@@ -80,7 +80,9 @@
 
     /// Time in which the customer's whole rate yields this number of tokens.
     pub(super) fn holder_wait(&self, tokens: u64) -> Option<std_time::Duration> {
-        let micros = (tokens * MICRO_TOKENS_PER_REQUEST).checked_div(self.limit.rate)?;
+        let missing = u128::from(tokens) * u128::from(MICRO_TOKENS_PER_REQUEST) * RATE_PERIOD;
+        let micros = missing.checked_div(u128::from(self.limit.rate))?;
+        let micros = u64::try_from(micros).unwrap_or(u64::MAX);
         Some(std_time::Duration::from_micros(micros))
     }
 
--- a/components/kernel/src/budget/mod.rs
+++ b/components/kernel/src/budget/mod.rs
@@ -29,6 +29,8 @@
 
 /// Units of a customer's rate limit.
 pub const RATE_UNITS: u64 = 1_000_000;
+/// Seconds to which the tokens of a rate refer.
+const RATE_PERIOD: u128 = 1_000;
 /// Micro-tokens that a request costs.
 const MICRO_TOKENS_PER_REQUEST: u64 = 1_000_000;
 /// Divisor of the burst that yields the initial tokens of a new share, where users
@@ -94,7 +96,7 @@
 /// Rate limit of a customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RateLimit {
-    /// Tokens per second.
+    /// Tokens in 1,000 seconds.
     pub rate: u64,
     /// Largest number of tokens at a time.
     pub burst: u64,
@@ -109,6 +111,8 @@
     /// with the time of adoption.
     unconfirmed: collections::VecDeque<(event::Epoch, time::Time)>,
     is_member: bool,
+    /// Customers whose requests need no tokens.
+    unlimited: collections::BTreeSet<Name>,
     is_releasing: bool,
     shares: collections::BTreeMap<Resource, Share>,
     open_requests: OpenRequests,
@@ -133,6 +137,7 @@
             is_active: false,
             unconfirmed: collections::VecDeque::new(),
             is_member: false,
+            unlimited: collections::BTreeSet::new(),
             is_releasing: false,
             shares: collections::BTreeMap::new(),
             unconfirmed_transfers: collections::BTreeMap::new(),
@@ -316,14 +321,21 @@
         }
     }
 
-    /// Whether this VM has a token of the customer.
+    /// Sets the customers whose requests need no tokens.
+    pub fn set_unlimited(&mut self, customers: impl Iterator<Item = Name>) {
+        self.unlimited = customers.collect();
+    }
+
+    /// Whether this VM has a token of the customer, or the customer needs none.
     pub fn has_token(&self, customer: &Name, now: time::Time) -> bool {
-        self.has_held_token(&Resource::Rate(customer.clone()), now)
+        self.unlimited.contains(customer)
+            || self.has_held_token(&Resource::Rate(customer.clone()), now)
     }
 
     /// Takes a token of the customer; returns false if there is none.
     pub fn take_token(&mut self, customer: &Name, now: time::Time) -> bool {
-        self.take_held_token(&Resource::Rate(customer.clone()), now)
+        self.unlimited.contains(customer)
+            || self.take_held_token(&Resource::Rate(customer.clone()), now)
     }
 
     /// Time until the share yields `position` more tokens.
@@ -332,12 +344,12 @@
         if !share.holders.is_empty() {
             return share.holder_wait(position);
         }
-        let unit_rate = share.limit.rate * share.units;
+        let unit_rate = u128::from(share.limit.rate) * u128::from(share.units);
         if unit_rate == 0 || share.capacity() < MICRO_TOKENS_PER_REQUEST {
             return None;
         }
         let missing = (position * MICRO_TOKENS_PER_REQUEST).saturating_sub(share.micro_tokens);
-        let micros = u128::from(missing) * u128::from(RATE_UNITS) / u128::from(unit_rate);
+        let micros = u128::from(missing) * u128::from(RATE_UNITS) * RATE_PERIOD / unit_rate;
         let micros = u64::try_from(micros).unwrap_or(u64::MAX);
         Some(std_time::Duration::from_micros(micros))
     }
--- a/components/kernel/src/budget/share.rs
+++ b/components/kernel/src/budget/share.rs
@@ -4,7 +4,7 @@
 
 use config::Name;
 
-use super::{RATE_UNITS, RateLimit};
+use super::{RATE_PERIOD, RATE_UNITS, RateLimit};
 use crate::{sharing, time};
 
 /// Period over which demand is averaged.
@@ -87,8 +87,9 @@
         let dt = time::micros(now.since(self.refilled_at));
         let gain = u128::from(self.limit.rate) * u128::from(self.units) * u128::from(dt)
             + u128::from(self.remainder);
-        let whole = u64::try_from(gain / u128::from(RATE_UNITS)).unwrap_or(u64::MAX);
-        let remainder = u64::try_from(gain % u128::from(RATE_UNITS)).unwrap_or(0);
+        let divisor = u128::from(RATE_UNITS) * RATE_PERIOD;
+        let whole = u64::try_from(gain / divisor).unwrap_or(u64::MAX);
+        let remainder = u64::try_from(gain % divisor).unwrap_or(0);
         (
             self.micro_tokens.saturating_add(whole).min(self.capacity()),
             remainder,
@@ -122,7 +123,9 @@
             return;
         }
         let per_second = self.request_count * 1_000_000 / time::micros(span).max(1);
-        let units = per_second * RATE_UNITS / self.limit.rate.max(1);
+        let wanted = u128::from(per_second) * u128::from(RATE_UNITS) * RATE_PERIOD;
+        let units = wanted / u128::from(self.limit.rate.max(1));
+        let units = u64::try_from(units).unwrap_or(u64::MAX >> 2);
         self.demand = (self.demand * 3 + units) / 4;
         self.request_count = 0;
         self.measured_at = now;
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -21,11 +21,15 @@
 
 /// Rate and burst of a customer, each raised by half of the overage that users
 /// tolerate, so that sharing them among VMs refuses no request within them.
-fn customer_limit(customer: &config::Customer, limits: &config::Limits) -> budget::RateLimit {
-    let overage = customer.rate * limits.overage_percent / 100 / ALLOWANCE_DIVISOR;
+fn customer_limit(rate: config::Rate, burst: u32, limits: &config::Limits) -> budget::RateLimit {
+    let per_thousand = rate.per_thousand_seconds();
+    let overage_ppm = u64::from(limits.overage_ppm / ALLOWANCE_DIVISOR);
+    let overage = u128::from(per_thousand) * u128::from(overage_ppm) / 1_000_000;
+    let burst = u64::from(burst) + u64::from(limits.burst_tolerance / ALLOWANCE_DIVISOR);
     budget::RateLimit {
-        rate: u64::from(customer.rate + overage),
-        burst: u64::from(customer.burst + limits.burst_tolerance / ALLOWANCE_DIVISOR),
+        rate: per_thousand.saturating_add(u64::try_from(overage).unwrap_or(u64::MAX)),
+        // Without room for one token, no request could run at any rate.
+        burst: burst.max(u64::from(!rate.is_zero())),
     }
 }
 
@@ -41,15 +45,28 @@
         let instances = &self.instance_groups;
         self.hold_times
             .retain(&|instance| instances.contains_key(instance));
+        self.budgets.set_unlimited(
+            fleet
+                .customers
+                .iter()
+                .filter(|(_, customer)| customer.rate.is_none())
+                .map(|(name, _)| name.clone()),
+        );
         for (name, customer) in &fleet.customers {
-            let limit = customer_limit(customer, &self.setup.limits);
+            let Some(rate) = customer.rate else {
+                continue;
+            };
+            let limit = customer_limit(rate, customer.burst, &self.setup.limits);
             let resource = budget::Resource::Rate(name.clone());
             self.budgets
                 .configure(resource, budget::RATE_UNITS, limit, self.now);
         }
         self.configure_warmup(&fleet);
         self.budgets.remove_if(&|resource| match resource {
-            budget::Resource::Rate(customer) => !fleet.customers.contains_key(customer),
+            budget::Resource::Rate(customer) => {
+                let customer = fleet.customers.get(customer);
+                customer.is_none_or(|customer| customer.rate.is_none())
+            }
             budget::Resource::Connections(instance) => !self.instance_groups.contains_key(instance),
             budget::Resource::Warmup(instance) => !self.warmup.has_limit(instance),
         });
--- a/components/kernel/src/warmup.rs
+++ b/components/kernel/src/warmup.rs
@@ -41,9 +41,9 @@
 /// token lifetime arrive.
 pub fn token_limit(rate: u32) -> budget::RateLimit {
     let rate = u64::from(rate);
-    let burst = (rate / BURST_DIVISOR).max(MIN_BURST);
+    let burst = (rate / BURST_DIVISOR).max(MIN_BURST).min(rate);
     budget::RateLimit {
-        rate: rate.saturating_sub(burst) * 1000 / (1000 + TOKEN_LIFETIME_MS),
+        rate: rate.saturating_sub(burst) * 1_000_000 / (1000 + TOKEN_LIFETIME_MS),
         burst,
     }
 }
@@ -89,7 +89,7 @@
         self.limits.clear();
         for group in fleet.groups.values() {
             let limit = group.warmup;
-            let Some(limit) = limit.filter(|limit| limit.rate > 0 && limit.period_ms > 0) else {
+            let Some(limit) = limit.filter(|limit| limit.period_ms > 0) else {
                 continue;
             };
             for instance in &group.instances {
@@ -313,7 +313,7 @@
     pub(crate) fn check_cold_leader(
         &mut self,
         group: &Name,
-        target: std_time::Duration,
+        target: Option<std_time::Duration>,
     ) -> Result<Option<std_time::Duration>, Refusal> {
         let Some(state) = self.groups.get(group) else {
             return Ok(None);
@@ -323,11 +323,8 @@
         let Some(leader) = leader.filter(|leader| self.is_cold(leader)) else {
             return Ok(None);
         };
-        let longest = if target.is_zero() {
-            self.setup.limits.wait_timeout
-        } else {
-            target.min(self.setup.limits.wait_timeout)
-        };
+        let limit = self.setup.limits.wait_timeout;
+        let longest = target.map_or(limit, |target| target.min(limit));
         let position = u64::try_from(state.write_queue.len() + 1).unwrap_or(u64::MAX);
         if self.has_warmup_token(&leader) && position == 1 {
             return Ok(Some(longest));
--- a/components/kernel/tests/instance_arbiter/mod.rs
+++ b/components/kernel/tests/instance_arbiter/mod.rs
@@ -200,7 +200,7 @@
                 wait_timeout: ms(3000),
                 queue_length: 64,
                 burst_tolerance: 0,
-                overage_percent: 0,
+                overage_ppm: 0,
             },
             policy: config::Policy {
                 reads: name(&options.reads),
@@ -797,9 +797,14 @@
 fn initial_note(options: &Options) -> String {
     use std::fmt::Write;
     let digest: String = config::KeyDigest::of(KEY.as_bytes()).into();
+    // Without an age, reads see the session's own writes.
+    let age = match options.age_ms {
+        0 => String::new(),
+        ms => format!("age: {ms}ms, "),
+    };
     let mut out = format!(
-        "note: first\nadded:\n  customers:\n    - {{name: {CUSTOMER}, rate: {}, burst: {}, keys: [{{name: first, digest: \"{digest}\"}}]}}\n  routes:\n    - {{name: orders, group: orders, database: orders, age: {}ms, customers: [{CUSTOMER}]}}\n  groups:\n    - name: orders\n      durability: {}\n      instances:\n",
-        options.rate, options.burst, options.age_ms, options.durability
+        "note: first\nadded:\n  customers:\n    - {{name: {CUSTOMER}, rate: {}, burst: {}, keys: [{{name: first, digest: \"{digest}\"}}]}}\n  routes:\n    - {{name: orders, group: orders, database: orders, {}customers: [{CUSTOMER}]}}\n  groups:\n    - name: orders\n      durability: {}\n      instances:\n",
+        options.rate, options.burst, age, options.durability
     );
     for i in 0..options.instances {
         let _ = writeln!(
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -333,3 +333,25 @@
     sim.send_request(0, session, false);
     assert_eq!(sim.daemons[0].session_floor(session), None);
 }
+
+// Guards against a bound of 0 that counts as none, for sessions from before its change too.
+#[test]
+fn reads_under_a_bound_of_zero_run_at_the_leader() {
+    let mut sim = Simulation::new(&Options::default());
+    let before = sim.open_session(0, "aged");
+    sim.write_for(500);
+    sim.age_ms = Some(0);
+    sim.revision += 1;
+    sim.write_for(500);
+    let after = sim.open_session(0, "aged");
+    sim.grants.clear();
+    sim.refusals.clear();
+    for session in [before, after] {
+        for _ in 0..10 {
+            sim.send_request(0, session, false);
+            sim.run(ms(20));
+        }
+    }
+    assert_eq!(sim.grants, [(0, true); 20], "{:?}", sim.decisions);
+    assert_eq!(sim.refusals, []);
+}
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -181,6 +181,8 @@
     pub revision: u64,
     /// Rate and burst of the customer.
     pub rate_limit: (u32, u32),
+    /// Rate of the customer in place of that, if set.
+    pub other_rate: Option<Option<config::Rate>>,
     /// Failure domains that the operators have evacuated.
     pub evacuated: collections::BTreeSet<Name>,
     /// VM and instance of each break of connections in use.
@@ -189,6 +191,8 @@
     pub idle_closings: Vec<(usize, usize)>,
     /// Group of the route `aged`.
     pub aged_group: &'static str,
+    /// Age of the data that reads on the routes `aged` and `keyed` accept, in ms.
+    pub age_ms: Option<u64>,
     /// Connections that an instance accepts.
     pub connections: u32,
     /// Whether the customer's key has been withdrawn.
@@ -306,7 +310,7 @@
             wait_timeout: ms(2500),
             queue_length: 100,
             burst_tolerance: 0,
-            overage_percent: 0,
+            overage_ppm: 0,
         },
         policy: config::Policy {
             arbiter: name("store"),
@@ -341,7 +345,7 @@
     ] {
         let entry = Route {
             open: true,
-            age_ms: 1500,
+            age_ms: sim.age_ms,
             reads,
             homes: names(&sim.route_homes),
             priority: u32::from(sim.ranks_routes && route != "latest"),
@@ -351,7 +355,7 @@
     }
     let keyed = Route {
         customers: collections::BTreeSet::from([name("tienda")]),
-        age_ms: 1500,
+        age_ms: sim.age_ms,
         reads: ReadConsistency::OwnAndAge,
         homes: names(&sim.route_homes),
         priority: u32::from(sim.ranks_routes),
@@ -360,7 +364,7 @@
     fleet.routes.insert(name("keyed"), keyed);
     let key = config::KeyDigest::of(KEY.as_bytes());
     let customer = config::Customer {
-        rate: limit.0,
+        rate: sim.other_rate.unwrap_or(Some(limit.0.into())),
         burst: limit.1,
         weight: 1,
         keys: if sim.key_withdrawn {
@@ -450,10 +454,12 @@
             reported_vms: 0,
             revision: 7,
             rate_limit: options.rate_limit,
+            other_rate: None,
             evacuated: collections::BTreeSet::new(),
             breaks: Vec::new(),
             idle_closings: Vec::new(),
             aged_group: "orders",
+            age_ms: Some(1500),
             connections: options.connections,
             key_withdrawn: false,
             is_operator_away: false,
--- a/components/kernel/tests/warmup.rs
+++ b/components/kernel/tests/warmup.rs
@@ -106,10 +106,14 @@
 fn the_token_limit_keeps_every_second_within_the_rate() {
     for rate in 5..500 {
         let limit = kernel::warmup::token_limit(rate);
-        let most = limit.burst + limit.rate + limit.rate * 400 / 1000;
-        assert!(most <= u64::from(rate), "{rate}: {limit:?}");
+        // The rate is in thousandths of a token per second.
+        let most = limit.burst * 1000 + limit.rate + limit.rate * 400 / 1000;
+        assert!(most <= u64::from(rate) * 1000, "{rate}: {limit:?}");
         assert!(limit.rate > 0 && limit.burst >= 2, "{rate}: {limit:?}");
     }
+    // Guards against a rate of 0 that leaves a burst.
+    let none = kernel::warmup::token_limit(0);
+    assert_eq!((none.rate, none.burst), (0, 0));
 }
 
 #[test]
--- a/components/testbed/src/plan.rs
+++ b/components/testbed/src/plan.rs
@@ -53,8 +53,8 @@
     pub name: String,
     /// Group.
     pub group: String,
-    /// Maximum staleness of reads in ms; 0 demands read-your-writes.
-    pub age_ms: u64,
+    /// Maximum staleness of reads in ms; none demands read-your-writes.
+    pub age_ms: Option<u64>,
     /// Whether callers without a key may use the route.
     pub is_open: bool,
 }
@@ -123,7 +123,7 @@
             routes: vec![RoutePlan {
                 name: "orders".into(),
                 group: "orders".into(),
-                age_ms: 0,
+                age_ms: None,
                 is_open: false,
             }],
             replica_lag: time::Duration::ZERO,
@@ -141,7 +141,7 @@
                 wait_timeout: ms(5000),
                 queue_length: 256,
                 burst_tolerance: 0,
-                overage_percent: 0,
+                overage_ppm: 0,
             },
         }
     }
@@ -214,10 +214,13 @@
             } else {
                 format!("customers: [{}]", names.join(", "))
             };
-            let (name, group, age) = (&route.name, &route.group, route.age_ms);
+            let (name, group) = (&route.name, &route.group);
+            let age = route
+                .age_ms
+                .map_or(String::new(), |ms| format!("age: {ms}ms, "));
             let _ = writeln!(
                 out,
-                "    - {{name: {name}, group: {group}, database: {group}, age: {age}ms, {access}}}"
+                "    - {{name: {name}, group: {group}, database: {group}, {age}{access}}}"
             );
         }
         out
