Pass the Sync after an error to the database

Callers saw: after an error before a Flush, a Sync was answered with an open transaction though there was none, and the next statement got no answer.

Cause: the daemon answered the Sync itself while it held the connection; the database skips all messages until it gets the Sync. Now the Sync goes to it, and commits nothing.

Found when the settings of such a session were looked at. The test a_session_goes_on_after_an_error_before_a_flush failed before (status T in place of I).

--- a/components/daemon/src/requests.rs
+++ b/components/daemon/src/requests.rs
@@ -168,24 +168,33 @@
 
     fn handle_batch(
         &mut self,
-        batch: wire::Batch,
+        mut batch: wire::Batch,
         key: &[u8],
         measure: &mut MeasureFn<'_>,
     ) -> Result<SessionState, wire::Failure> {
         let end = batch.terminator;
-        if self.is_skipping {
-            if end == wire::Terminator::Sync {
-                self.is_skipping = false;
+        let follows_error = self.is_skipping;
+        if follows_error {
+            if end != wire::Terminator::Sync {
+                return Ok(SessionState::Open);
+            }
+            self.is_skipping = false;
+            if self.connection.is_none() {
                 self.write_ready();
                 self.caller.flush()?;
+                return Ok(SessionState::Open);
             }
-            return Ok(SessionState::Open);
+            // The database skips messages as well, until it gets the Sync.
+            batch.keep_sync();
         }
         if batch.contains(key) {
             return self.refuse(&Refusal::new(Cause::KeyExposed, 0), end);
         }
         let plan = match self.statements.plan(batch) {
-            Ok(plan) => plan,
+            Ok(plan) => wire::Plan {
+                follows_error,
+                ..plan
+            },
             Err(wire::PlanError::Refused(cause)) => {
                 return self.refuse(&Refusal::new(cause, 0), end);
             }
--- a/components/wire/src/batch.rs
+++ b/components/wire/src/batch.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Drops all messages but the Sync at the end.
+    pub fn keep_sync(&mut self) {
+        self.frames.retain(|frame| frame.tag == b'S');
+    }
+
     /// Whether the body of any message contains the caller's key.
     pub fn contains(&self, key: &[u8]) -> bool {
         if key.is_empty() {
--- a/components/wire/src/exchange.rs
+++ b/components/wire/src/exchange.rs
@@ -145,7 +145,7 @@
     let status = run.relay();
     let has_flushed = run.has_flushed;
     match status {
-        Ok(status) => Ok(run.finish(status, reply_start, plan.terminator)),
+        Ok(status) => Ok(run.finish(status, reply_start, plan)),
         Err(error) => {
             if !has_flushed {
                 run.caller.output.truncate(reply_start);
@@ -430,12 +430,7 @@
         self.status = frame.body.first().copied().unwrap_or(b'I');
     }
 
-    fn finish(
-        mut self,
-        status: u8,
-        reply_start: usize,
-        terminator: batch::Terminator,
-    ) -> BatchOutcome {
+    fn finish(mut self, status: u8, reply_start: usize, plan: &statements::Plan) -> BatchOutcome {
         let is_idle = status == b'I';
         let was_refused = self.error_sqlstate.as_deref() == Some(READ_ONLY_SQLSTATE);
         let has_kept_nothing = is_idle && !self.in_transaction && !self.tags.has_commit;
@@ -443,7 +438,8 @@
         if needs_primary {
             self.caller.output.truncate(reply_start);
         }
-        let has_failed = self.error_sqlstate.is_some() || self.tags.last_rollback;
+        let has_failed =
+            self.error_sqlstate.is_some() || self.tags.last_rollback || plan.follows_error;
         let is_write = self.access == event::Access::Write;
         let maybe_committed = is_write && is_idle && (self.tags.has_commit || !has_failed);
         let mut held_output = self.held_replies.split();
@@ -469,7 +465,8 @@
             needs_primary,
             held_output,
             primary_status: self.primary_status,
-            is_skipping: self.error_sqlstate.is_some() && terminator == batch::Terminator::Flush,
+            is_skipping: self.error_sqlstate.is_some()
+                && plan.terminator == batch::Terminator::Flush,
         }
     }
 }
--- a/components/wire/src/statements.rs
+++ b/components/wire/src/statements.rs
@@ -80,6 +80,8 @@
     pub names: Vec<NameChange>,
     /// Whether a statement may change parameters of the connection.
     pub alters_parameters: bool,
+    /// Whether the batch ends a transaction in which an earlier batch has failed.
+    pub follows_error: bool,
     /// Whether the last statement starts or commits a transaction block.
     pub boundary: classify::Boundary,
 }
@@ -220,6 +222,7 @@
             effects: Vec::new(),
             names: Vec::new(),
             alters_parameters: false,
+            follows_error: false,
             boundary: classify::Boundary::Inside,
         };
         match self.plan_frames(batch.frames, &mut plan) {
--- a/tests/common/raw.rs
+++ b/tests/common/raw.rs
@@ -13,6 +13,7 @@
     socket: net::TcpStream,
     sqlstate: String,
     transaction_status: u8,
+    row: Vec<u8>,
 }
 
 impl Session {
@@ -27,6 +28,7 @@
             socket,
             sqlstate: String::new(),
             transaction_status: b'I',
+            row: Vec::new(),
         };
         let customer = &cluster.plan().customers[0];
         let mut startup = vec![0, 3, 0, 0];
@@ -97,6 +99,10 @@
                 let code = fields.filter_map(|field| field.strip_prefix(b"C")).next();
                 self.sqlstate = String::from_utf8_lossy(code.unwrap_or_default()).into_owned();
             }
+            if tag == b'D' {
+                // After the number of columns and the length of the first one.
+                self.row = body[6..].to_vec();
+            }
             if tag == b'Z' {
                 self.transaction_status = body[0];
                 return tags;
@@ -104,6 +110,11 @@
         }
     }
 
+    /// Value of the last row, which has one column.
+    pub fn last_row(&self) -> &[u8] {
+        &self.row
+    }
+
     /// SQLSTATE of the last error.
     pub fn sqlstate(&self) -> &str {
         &self.sqlstate
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -258,6 +258,38 @@
     run("RESET ALL", "");
 }
 
+// Guards against a Sync after an error that the database does not get, so that it skips what
+// follows, and against a setting that is lost after it.
+#[test]
+fn a_session_goes_on_after_an_error_before_a_flush() {
+    let cluster = testbed::Cluster::start(testbed::Plan::small().for_fault_free_tests())
+        .expect("the cluster starts");
+    let mut session = common::raw::Session::connect(&cluster, 0);
+    for in_transaction in [false, true] {
+        if in_transaction {
+            session.send(b'Q', b"BEGIN\0");
+            assert_eq!(session.read_tags(), "CZ");
+        }
+        session.send(b'P', b"\0SELECT a FROM no_such_table\0\0\0");
+        session.send(b'H', b"");
+        session.send(b'S', b"");
+        assert_eq!(session.read_tags(), "EZ");
+        if in_transaction {
+            assert_eq!(session.transaction_status(), b'E');
+            session.send(b'Q', b"ROLLBACK\0");
+            assert_eq!(session.read_tags(), "CZ");
+        }
+        assert_eq!(session.transaction_status(), b'I');
+        session.send(b'Q', b"SET app.x = '1'\0");
+        assert_eq!(session.read_tags(), "CZ");
+        session.send(b'Q', b"SHOW app.x\0");
+        assert_eq!(session.read_tags(), "TDCZ");
+        assert_eq!(session.last_row(), b"1");
+        session.send(b'Q', b"DISCARD ALL\0");
+        assert_eq!(session.read_tags(), "CZ");
+    }
+}
+
 // Guards against an acknowledged setting that is dropped because there are many.
 #[test]
 fn a_setting_too_many_is_refused_and_none_is_dropped() {
