Wait for a departed instance whose commits cannot be bounded

If a VM knew no position of the leader when an instance departed, it counted as one without commits. By reading; kernel/tests/synchronous.rs passes as before.

--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -147,8 +147,8 @@
     /// Time from which the leader counts as silent because it is not registered.
     absent_since: Option<time::Time>,
     /// Instances that have gone without leaving since the leader was assigned, with the
-    /// position of the leader by then: they may have commits up to it.
-    departed: collections::BTreeMap<Name, position::Position>,
+    /// position of the leader by then, if known: they may have commits up to it.
+    departed: collections::BTreeMap<Name, Option<position::Position>>,
     /// Positions that instances had reached before they restarted.
     former_positions: collections::BTreeMap<Name, position::Position>,
     sampling: Sampling,
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -160,7 +160,7 @@
     /// Records the instances that are gone although they have not said that they leave.
     pub(super) fn record_departures(&mut self, members: &collections::BTreeSet<&Name>) {
         self.departed.retain(|name, _| !members.contains(name));
-        let reached = self.newest_floor().unwrap_or_default();
+        let reached = self.newest_floor();
         for (name, state) in &self.instances {
             if !members.contains(name) && !state.leaving {
                 self.departed.insert(name.clone(), reached);
@@ -168,9 +168,15 @@
         }
     }
 
-    /// Instances that are gone, with the positions up to which they may have commits.
-    pub fn departed(&self) -> &collections::BTreeMap<Name, position::Position> {
-        &self.departed
+    /// Instances that are gone and may have commits beyond a position.
+    pub fn departed_beyond(
+        &self,
+        position: Option<position::Position>,
+    ) -> impl Iterator<Item = &Name> {
+        let departed = self.departed.iter();
+        let departed =
+            departed.filter(move |(_, reached)| reached.is_none() || position < **reached);
+        departed.map(|(name, _)| name)
     }
 
     /// Whether an instance reports less than it had reached before it restarted: it has
--- a/components/kernel/src/handover/synchronous.rs
+++ b/components/kernel/src/handover/synchronous.rs
@@ -113,10 +113,8 @@
     }
     let is_missing = |name: &&Name| old_leader != Some(*name) && !is_whole(name);
     let mut missing: Vec<_> = group.instances.keys().filter(is_missing).cloned().collect();
-    let departed = group.departed().iter().filter(|(name, reached)| {
-        old_leader != Some(*name) && highest.is_none_or(|highest| highest < **reached)
-    });
-    missing.extend(departed.map(|(name, _)| name.clone()));
+    let departed = group.departed_beyond(highest);
+    missing.extend(departed.filter(|name| old_leader != Some(*name)).cloned());
     match highest {
         Some(highest) if missing.is_empty() => Proof::Floor(highest),
         _ => {
