Let voters alone ask the instances who leads

In a large fleet whose VMs are all new after a restore, every VM asked every instance from 1.4 s on while an instance did not answer.

--- a/components/kernel/src/handover/proof.rs
+++ b/components/kernel/src/handover/proof.rs
@@ -3,9 +3,9 @@
 //! When the store comes back from an older copy, the row of a group's leader may be one
 //! that had been replaced. A process that has known the rows all the time knows better;
 //! to any other one, only a row of the present era is proof. Until there is one, it
-//! uses no leader, and the first voter asks the instances: the primary of the highest term
-//! leads if all others have answered with no later one. The row that it then writes is
-//! proof to all.
+//! uses no leader, and the voters ask the instances, one after the other: the primary of the
+//! highest term leads if all others have answered with no later one. The row that a voter
+//! then writes is proof to all.
 
 use std::time as std_time;
 
@@ -28,8 +28,8 @@
 }
 
 impl Proof {
-    /// Asks the instances if nothing proves who leads, and writes the row once they have
-    /// answered.
+    /// Asks the instances if nothing proves who leads and this VM votes, and writes the row
+    /// once they have answered.
     pub(super) fn step(
         &mut self,
         context: &Context<'_>,
@@ -40,9 +40,11 @@
             *self = Self::default();
             return;
         }
+        let is_voter = context.rank < context.voters.len();
         let since = *self.since.get_or_insert(context.now);
         let has_passed = |at: time::Time| context.now.since(at) >= RETRY_DELAY;
-        if context.now < since + rank_delay || !self.written_at.is_none_or(has_passed) {
+        let is_due = is_voter && context.now >= since + rank_delay;
+        if !is_due || !self.written_at.is_none_or(has_passed) {
             return;
         }
         if context.now.since(self.last_poll) >= stage::POLL_PERIOD {
--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -583,8 +583,9 @@
     }
 
     /// Leader that the rows assign to the group, for use until `until`; none while
-    /// a claim is in progress, or if the rows prove nothing. `token` is the highest token of a claim that a peer
-    /// or this daemon has announced: older versions of the row do not count.
+    /// a claim is in progress, or if the rows prove nothing. `token` is the highest token
+    /// of a claim that a peer or this daemon has announced: older versions of the row do
+    /// not count.
     pub fn assigned_leader(
         &self,
         group: &Name,
--- a/components/kernel/tests/restored.rs
+++ b/components/kernel/tests/restored.rs
@@ -919,3 +919,25 @@
     assert!(sim.leader() != Some(0), "{:?}", sim.decisions);
     assert_eq!(sim.violations, Vec::<String>::new(), "{:?}", sim.decisions);
 }
+
+// Guards against polls of every instance by every VM of a large fleet.
+#[test]
+fn few_vms_ask_the_instances_who_leads() {
+    let mut sim = Simulation::new(&Options {
+        vms: 48,
+        lease_ms: 3500,
+        ..Options::default()
+    });
+    let copy = sim.store.copy();
+    restore(&mut sim, copy, 500);
+    (0..48).for_each(|vm| sim.restart(vm));
+    // Nothing is proved before more than half of the instances are enough.
+    sim.instances[2].is_alive = false;
+    sim.run(ms(1800));
+    sim.polls = 0;
+    sim.run(ms(320));
+    // Seven voters ask three instances every 40 ms.
+    assert!(sim.polls <= 7 * 3 * 9, "{}", sim.polls);
+    sim.write_through(&[0, 17], 4000);
+    assert_served_by(&mut sim, 0);
+}
