Let a leader that was promoted without a record lead on in a synchronous group

Found by random series of faults (kernel/tests/series.rs): the old leader of the claim led a later term than the record, because it had been promoted without one. It is a candidate now. If the instance that is ordered had led before, nothing is promoted, so replication is resumed, which a replica of an older term needs.

The simulation paused replicas below their own term, which the users' instances do not.

--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -536,6 +536,7 @@
             token: None,
             last_poll: time::Time::default(),
             is_takeover: has_earlier,
+            had_led: false,
             is_unproved_noted: false,
             stage: Stage::Claiming,
         });
--- a/components/kernel/src/handover/resume.rs
+++ b/components/kernel/src/handover/resume.rs
@@ -1,8 +1,8 @@
 //! Resumption of replication after a replacement.
 //!
 //! A promotion resumes replication on all replicas. If the order named the
-//! instance that already led, nothing was promoted, and each instance has to be
-//! asked to resume. The leader is asked too, because replication was paused on
+//! instance that already led, also in a term without a record, nothing was promoted, and
+//! each instance has to be asked to resume. The leader is asked too, because replication was paused on
 //! it as on a replica.
 
 use std::{collections, time as std_time};
@@ -32,7 +32,7 @@
         let Stage::Recording { leader, .. } = &attempt.stage else {
             return;
         };
-        if leader.term == attempt.term {
+        if leader.term == attempt.term || attempt.had_led {
             let names = context.group.instances.keys();
             self.waiting = names.map(|name| (name.clone(), None)).collect();
             self.since = context.now;
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -115,6 +115,8 @@
     pub(super) claim_sent: time::Time,
     pub(super) token: Option<u64>,
     pub(super) last_poll: time::Time,
+    /// Whether the instance that was ordered to lead had led before the order.
+    pub(super) had_led: bool,
     /// Whether a note says that no candidate is proved to have every commit.
     pub(super) is_unproved_noted: bool,
     pub(super) stage: Stage,
@@ -490,7 +492,7 @@
     context: &Context<'_>,
     out: &mut Vec<Step>,
 ) -> Stage {
-    let Some((instance, _)) = candidates.front().cloned() else {
+    let Some((instance, position)) = candidates.front().cloned() else {
         return start_pausing(context.now);
     };
     // An order that names the current primary does not change the term, so
@@ -501,6 +503,7 @@
         status.role == position::Role::Primary && is_accepted
     });
     if let Some(status) = confirmed {
+        attempt.had_led = position.term == status.term;
         // A replica that restarted after its pause has received more than it reported then.
         let reported = position::Position {
             term: status.term,
--- a/components/kernel/src/handover/synchronous.rs
+++ b/components/kernel/src/handover/synchronous.rs
@@ -36,8 +36,10 @@
     let answer = old_leader
         .as_ref()
         .and_then(|name| Some((name.clone(), stage::status_since(context, name, since)?)));
+    // A position that may still grow proves nothing, unless its term shows that the
+    // instance was promoted after the leader of the claim.
     if let Some((name, status)) = &answer
-        && status.role == position::Role::Replica
+        && (status.role == position::Role::Replica || status.term > attempt.term)
     {
         pauses.paused.insert(name.clone(), position_of(status));
     }
--- a/components/kernel/tests/store_arbiter/network.rs
+++ b/components/kernel/tests/store_arbiter/network.rs
@@ -66,7 +66,7 @@
                 let is_busy = is_reached && fake.busy_fences > 0;
                 fake.busy_fences -= usize::from(is_busy);
                 let accepted = is_reached && !is_busy;
-                fake.replication_paused |= accepted;
+                fake.replication_paused |= accepted && term.0 > fake.term;
                 let reply = event::TermReply {
                     instance: name(&format!("db-{instance}")),
                     term,
