Order nobody but the instance that leads a later term already

A replica whose stated position was newer than that of an unrecorded leader could be promoted over it.

--- a/components/kernel/src/handover/synchronous.rs
+++ b/components/kernel/src/handover/synchronous.rs
@@ -20,6 +20,8 @@
 enum Proof {
     /// An instance at this position or beyond has all of them.
     Floor(position::Position),
+    /// The instance leads a later term, for which it has been promoted without a record.
+    Leads(Name, position::Position),
     /// These instances may have commits that no candidate is known to have.
     Missing(Vec<Name>),
 }
@@ -44,6 +46,10 @@
         pauses.paused.insert(name.clone(), position_of(status));
     }
     match find_proof(attempt, since, &pauses, context) {
+        Proof::Leads(name, position) => Stage::Ordering {
+            candidates: [(name, position)].into(),
+            sent: None,
+        },
         Proof::Floor(floor) => {
             if let Some(old_leader) = old_leader {
                 let (term, deadline) = (attempt.term.next(), attempt.deadline());
@@ -93,15 +99,14 @@
     let (group, paused) = (context.group, &pauses.paused);
     let is_valid = |position: &&position::Position| !stage::is_abandoned(**position, context);
     let highest = paused.values().filter(is_valid).max().copied();
-    // An instance that has been promoted without a record leads the later term.
     let later = highest.filter(|position| position.term > attempt.term);
     let leads_later = |(name, position): &(&Name, &position::Position)| {
         let status = stage::status_since(context, name, since);
         let is_primary = status.is_some_and(|status| status.role == position::Role::Primary);
         is_primary && later.is_some_and(|later| later.term == position.term)
     };
-    if let Some((_, position)) = paused.iter().find(leads_later) {
-        return Proof::Floor(*position);
+    if let Some((name, position)) = paused.iter().find(leads_later) {
+        return Proof::Leads(name.clone(), *position);
     }
     let old_leader = attempt.old_leader.as_ref().filter(|_| later.is_none());
     let is_whole = |name: &Name| {
