--- a/review/13/case.py
+++ b/review/13/case.py
@@ -4,10 +4,11 @@
 import rig as lib
 
 KEY = "key-of-tienda"
-CRASH_S = 7.0      # `srv_crash` of the site: for_s = 7.0
-DOWN_AT_S = 6.8    # since the crash of the replica; its entry has expired 3 s before
-DOWN_S = 3.9       # `platform_down` of the site: for_s = 4.5
-LOST_AT_S = 9.7    # crash of the primary, one second before the store is back
+CRASH_S = 7.0      # `srv_crash` "primary" of the site: for_s = 7.0
+REPLICA_S = 3.45   # `srv_crash` "dark replica" of the site: for_s = 3.45
+DOWN_AT_S = 3.0    # since the crash of the replica; its entry has expired
+DOWN_S = 4.2       # `platform_down` of the site: for_s = 4.5
+LOST_AT_S = 6.2    # crash of the primary, one second before the store is back
 MACHINES = 6       # as on the site
 WRITE_S = 0.008    # mean work of the site's `pedido-tienda`
 WRITERS = 3        # slots of an instance
@@ -43,13 +44,15 @@
         threads[-1].start()
     time.sleep(2.0)
     if lib.TROUBLE:
+        # Just before a heartbeat, so that the entry expires soon.
+        time.sleep(max(0.0, near.beat_at + lib.HEARTBEAT_S - 0.1 - time.monotonic()))
         near.crash()
         start = time.monotonic()
         await_time = lambda at: time.sleep(max(0.0, start + at - time.monotonic()))
         await_time(DOWN_AT_S)
         rig.store.is_down = True
         rig.record("rig", "the store is down")
-        await_time(CRASH_S)
+        await_time(REPLICA_S)
         near.restart()
         await_time(LOST_AT_S)
         primary.crash()
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -5,8 +5,9 @@
 
 KEY = "key-of-tienda"
 CRASH_S = 7.0      # `srv_crash` of the site: for_s = 7.0
-KILL_AT_S = 3.0    # after the entries of both instances have expired
-DOWN_S = 0.6       # `herd_kill`: for_s = 1.0 at most
+REPLICA_S = 3.45   # `srv_crash` "dark replica" of the site: for_s = 3.45
+KILL_AT_S = 2.65   # after the entries of both instances have expired
+DOWN_S = 0.1       # `herd_kill`: for_s = 1.0 at most
 WRITE_S = 0.008    # mean work of the site's `pedido-tienda`
 WRITERS = 3        # slots of an instance
 NEAR_S, FAR_S = 0.0009, 0.02  # one way between two zones, and between two regions
@@ -54,8 +55,9 @@
         time.sleep(DOWN_S)
         for daemon in rig.daemons:
             daemon.start()
-        time.sleep(max(0.0, crashed + CRASH_S - time.monotonic()))
+        time.sleep(max(0.0, crashed + REPLICA_S - time.monotonic()))
         near.restart()
+        time.sleep(max(0.0, crashed + CRASH_S - time.monotonic()))
         primary.restart()
         time.sleep(4.0)
     else:
