Sessions keep a floor for each group that they touched

Cause: a session had one floor, for the group that its route named last. A move dropped it, and the sample that took its place can be older than the write. A commit that was at work during the move raised the floor of the wrong group.

Change: floors by group, for as long as the session lives; a commit counts in the group in which it ran. Ruled out: a change of the route's kind or age (its test holds before and after).

The test that asked for the dropped floor is replaced by stricter ones.

--- a/components/kernel/src/arrivals.rs
+++ b/components/kernel/src/arrivals.rs
@@ -29,7 +29,7 @@
                     group: session.group.clone(),
                 };
                 let group = session.group.clone();
-                if session.floor.is_none()
+                if session.floors.is_empty()
                     && session.max_age.is_none()
                     && let Some(state) = self.groups.get_mut(&group)
                 {
@@ -77,7 +77,11 @@
             route: name.clone(),
             group: route.group.clone(),
             max_age: route.age_ms.map(std_time::Duration::from_millis),
-            floor: request.token,
+            floors: request
+                .token
+                .map(|token| (route.group.clone(), token))
+                .into_iter()
+                .collect(),
             reads: route.reads,
             opened_at: self.now,
             arrival: None,
@@ -140,11 +144,7 @@
         if let Some(route) = fleet.routes.get(&session.route) {
             session.max_age = route.age_ms.map(std_time::Duration::from_millis);
             session.reads = route.reads;
-            if session.group != route.group {
-                // Positions of one group mean nothing in another.
-                session.floor = None;
-                session.group.clone_from(&route.group);
-            }
+            session.group.clone_from(&route.group);
         }
     }
 
--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -163,7 +163,7 @@
         };
         let action = match result {
             Some((floor, until)) => {
-                self.sessions.raise_floor(commit.granted.session, floor);
+                self.sessions.raise_floor(&commit.granted, floor);
                 event::Action::AcknowledgeCommit(id, floor, until)
             }
             None => event::Action::RefuseRequest(id, Refusal::new(Cause::OutcomeUnknown, 0)),
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -236,9 +236,13 @@
         }
     }
 
-    /// Floor of a session's reads, if known.
-    pub fn session_floor(&self, session: event::SessionId) -> Option<position::Position> {
-        self.sessions.open.get(&session)?.floor
+    /// Floor of a session's reads in a group, if known.
+    pub fn session_floor(
+        &self,
+        session: event::SessionId,
+        group: &str,
+    ) -> Option<position::Position> {
+        self.sessions.open.get(&session)?.floor(group)
     }
 
     /// State of a group as known on this VM.
--- a/components/kernel/src/dispatch.rs
+++ b/components/kernel/src/dispatch.rs
@@ -218,8 +218,9 @@
         else {
             return;
         };
-        if session.floor.is_none() {
-            session.floor = state.group.arrival_floor(session.opened_at);
+        let floor = state.group.arrival_floor(session.opened_at);
+        if let Some(floor) = floor.filter(|_| session.floor(group).is_none()) {
+            session.raise_floor(group, floor);
         }
     }
 
--- a/components/kernel/src/requirement.rs
+++ b/components/kernel/src/requirement.rs
@@ -31,7 +31,7 @@
 impl Requirement {
     /// Requirement of a read that is sent at `now`.
     pub fn of(group: &group::Group, session: &sessions::Session, now: time::Time) -> Self {
-        let own = session.floor.map(|floor| group.cap_floor(floor));
+        let own = own_floor(group, session);
         match (session.reads, session.max_age) {
             (config::ReadConsistency::OwnOrAge, _) => Requirement::Status,
             (config::ReadConsistency::Latest, _) => Requirement::Primary,
@@ -71,6 +71,12 @@
     }
 }
 
+/// Floor from the session's own commits in the group.
+fn own_floor(group: &group::Group, session: &sessions::Session) -> Option<position::Position> {
+    let floor = session.floor(group.name())?;
+    Some(group.cap_floor(floor))
+}
+
 /// Whether the replica's reported status shows what the session must see.
 fn status_satisfies(
     group: &group::Group,
@@ -84,7 +90,7 @@
             .is_some_and(|a| a <= age);
     }
     let floor = session
-        .floor
+        .floor(group.name())
         .or_else(|| group.arrival_floor(session.opened_at));
     floor.is_some_and(|floor| group.has_reached(&candidate.name, floor))
 }
@@ -113,7 +119,7 @@
         let sample = session
             .max_age
             .and_then(|age| group.sample_of_age(age, now + TRANSIT_MARGIN));
-        let own = session.floor.map(|floor| group.cap_floor(floor));
+        let own = own_floor(group, session);
         let floor = match Requirement::of(group, session, now) {
             _ if access == event::Access::Write && !is_leader => return None,
             _ if access == event::Access::Write => None,
--- a/components/kernel/src/sessions.rs
+++ b/components/kernel/src/sessions.rs
@@ -21,9 +21,9 @@
     pub max_age: Option<std_time::Duration>,
     /// Consistency of reads.
     pub reads: config::ReadConsistency,
-    /// Floor of the session's reads; none until a sample of the leader's position
-    /// sets it.
-    pub floor: Option<position::Position>,
+    /// Floors of the session's reads by group; none for a group until a sample of its
+    /// leader's position, or a commit, sets it. They outlast any change of the route.
+    pub floors: collections::BTreeMap<Name, position::Position>,
     /// When the session was opened.
     pub opened_at: time::Time,
     /// Arrival of the latest request; none before the first one.
@@ -41,6 +41,17 @@
 }
 
 impl Session {
+    /// Floor of the session's reads in a group.
+    pub fn floor(&self, group: &str) -> Option<position::Position> {
+        self.floors.get(group).copied()
+    }
+
+    /// Raises the floor of the session's reads in a group; it never falls.
+    pub fn raise_floor(&mut self, group: &Name, floor: position::Position) {
+        let known = self.floors.entry(group.clone()).or_insert(floor);
+        *known = (*known).max(floor);
+    }
+
     /// Records that a request has come, or is tried again.
     pub fn record_arrival(&mut self, now: time::Time, retry: bool) {
         let kept = self.arrival.filter(|arrival| {
@@ -106,10 +117,10 @@
 }
 
 impl Sessions {
-    /// Raises the floor of a session; the floor never falls.
-    pub fn raise_floor(&mut self, session: event::SessionId, floor: position::Position) {
-        if let Some(session) = self.open.get_mut(&session) {
-            session.floor = session.floor.max(Some(floor));
+    /// Raises the floor of a request's session in the group in which the request ran.
+    pub fn raise_floor(&mut self, granted: &GrantedRequest, floor: position::Position) {
+        if let Some(session) = self.open.get_mut(&granted.session) {
+            session.raise_floor(&granted.group, floor);
         }
     }
 }
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -319,19 +319,93 @@
     assert!(capped <= held, "{capped} of {held}");
 }
 
-// Positions of one group mean nothing in another.
-#[test]
-fn a_session_whose_route_changes_its_group_keeps_no_floor() {
+/// Moves the route `aged` to another group and lets a session read there.
+fn move_route(sim: &mut Simulation, session: event::SessionId, group: &'static str) {
+    sim.aged_group = group;
+    sim.revision += 1;
+    sim.run(ms(100));
+    sim.send_request(0, session, false);
+    sim.run(ms(100));
+}
+
+/// Floor that a replica has to have applied for a read of a session of VM 0.
+fn replica_floor(sim: &Simulation, session: event::SessionId) -> Option<position::Position> {
+    let (replica, now) = (store_arbiter::name("db-1"), sim.local_time(0));
+    let condition = sim.daemons[0].precondition(session, &replica, event::Access::Read, now);
+    condition.expect("the replica serves reads").floor
+}
+
+/// Simulation without a bound on the age of reads, and a session on the route `aged`.
+fn without_age() -> (Simulation, event::SessionId) {
     let mut sim = Simulation::new(&Options::default());
+    sim.age_ms = None;
+    sim.revision += 1;
+    sim.run(ms(100));
     let session = sim.open_session(0, "aged");
+    (sim, session)
+}
+
+// Guards against a session that misses its own write after its route was moved to another
+// group and back. Positions of one group mean nothing in another.
+#[test]
+fn a_session_keeps_the_floor_of_each_group_while_its_route_moves() {
+    let (mut sim, session) = without_age();
+    // A read that overtakes the write shows the leader's position without the write.
+    let other = sim.open_session(0, "latest");
+    sim.statement_time = ms(200);
     sim.send_request(0, session, true);
     sim.run(ms(100));
-    assert!(sim.daemons[0].session_floor(session).is_some());
-    sim.aged_group = "others";
-    sim.revision += 1;
+    sim.statement_time = ms(0);
+    sim.send_request(0, other, false);
+    sim.run(ms(150));
+    let written = sim.daemons[0].session_floor(session, "orders");
+    assert!(written.is_some());
+    assert_eq!(replica_floor(&sim, session), written);
+    for _ in 0..2 {
+        move_route(&mut sim, session, "others");
+        assert_eq!(sim.daemons[0].session_floor(session, "others"), None);
+        move_route(&mut sim, session, "orders");
+        assert_eq!(replica_floor(&sim, session), written);
+    }
+}
+
+// Guards against a commit that counts in the group to which the route was moved while the
+// commit was at work.
+#[test]
+fn a_commit_counts_in_the_group_in_which_it_ran() {
+    let (mut sim, session) = without_age();
+    sim.send_request(0, session, true);
     sim.run(ms(100));
-    sim.send_request(0, session, false);
-    assert_eq!(sim.daemons[0].session_floor(session), None);
+    let earlier = sim.daemons[0].session_floor(session, "orders");
+    sim.statement_time = ms(300);
+    sim.send_request(0, session, true);
+    sim.run(ms(50));
+    move_route(&mut sim, session, "others");
+    sim.run(ms(300));
+    assert_eq!(sim.daemons[0].session_floor(session, "others"), None);
+    assert!(sim.daemons[0].session_floor(session, "orders") > earlier);
+}
+
+// Guards against a floor that is dropped while the route reads at the primary, or asks for
+// another age.
+#[test]
+fn a_session_keeps_its_floor_while_its_route_is_of_another_kind() {
+    let (mut sim, session) = without_age();
+    sim.send_request(0, session, true);
+    sim.run(ms(100));
+    let written = replica_floor(&sim, session);
+    assert!(written.is_some());
+    for (reads, age) in [
+        (config::ReadConsistency::Latest, None),
+        (config::ReadConsistency::OwnAndAge, Some(1500)),
+        (config::ReadConsistency::OwnAndAge, Some(0)),
+    ] {
+        (sim.aged_reads, sim.age_ms) = (reads, age);
+        move_route(&mut sim, session, "orders");
+        (sim.aged_reads, sim.age_ms) = (config::ReadConsistency::OwnAndAge, None);
+        move_route(&mut sim, session, "orders");
+        assert_eq!(replica_floor(&sim, session), written);
+    }
 }
 
 // Guards against a bound of 0 that counts as none, for sessions from before its change too.
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -144,6 +144,7 @@
                 self.arrivals.push((self.now, instance));
             }
         }
+        self.statements_sent.insert(id, now);
         if self.statement_time.is_zero() {
             return self.complete(vm, id, grant, precondition.floor);
         }
@@ -194,10 +195,10 @@
             self.check_age(status.replayed.0);
         }
         let status = self.status(instance);
-        let sent = self.local_time(vm);
+        let sent = self.statements_sent.remove(&id);
         let observed = event::Observation {
             instance: grant.instance.clone(),
-            sent,
+            sent: sent.unwrap_or_else(|| self.local_time(vm)),
             applied: position::Position {
                 term: status.term,
                 lsn: status.replayed,
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -191,6 +191,8 @@
     pub idle_closings: Vec<(usize, usize)>,
     /// Group of the route `aged`.
     pub aged_group: &'static str,
+    /// Consistency of reads on the route `aged`.
+    pub aged_reads: ReadConsistency,
     /// Age of the data that reads on the routes `aged` and `keyed` accept, in ms.
     pub age_ms: Option<u64>,
     /// Connections that an instance accepts.
@@ -222,6 +224,8 @@
     deliveries: delay_queue::Queue<Delivery>,
     setups: Vec<Setup>,
     requests: collections::BTreeMap<event::RequestId, (usize, bool)>,
+    /// When each statement in progress was sent, by the clock of its VM.
+    statements_sent: collections::BTreeMap<event::RequestId, time::Time>,
     last_id: u64,
 }
 
@@ -341,7 +345,7 @@
     fleet.groups.insert(name("orders"), group);
     for (route, reads, group) in [
         ("latest", ReadConsistency::Latest, "orders"),
-        ("aged", ReadConsistency::OwnAndAge, sim.aged_group),
+        ("aged", sim.aged_reads, sim.aged_group),
     ] {
         let entry = Route {
             open: true,
@@ -459,6 +463,7 @@
             breaks: Vec::new(),
             idle_closings: Vec::new(),
             aged_group: "orders",
+            aged_reads: ReadConsistency::OwnAndAge,
             age_ms: Some(1500),
             connections: options.connections,
             key_withdrawn: false,
@@ -476,6 +481,7 @@
             deliveries: delay_queue::Queue::default(),
             setups,
             requests: collections::BTreeMap::new(),
+            statements_sent: collections::BTreeMap::new(),
             last_id: 0,
         };
         sim.run(ms(3000));
