A commit whose service is taken away is answered

A caller whose commit was at work while a new configuration took its service away got no answer at all, and a stop of the daemon waited for that commit.

Cause: commits are settled by their group, and a group that is gone settled none. Change: their outcome is unknown, at once.

--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -113,6 +113,11 @@
             return;
         };
         let Some(state) = self.groups.get(group) else {
+            // The configuration has taken the group away.
+            let ids: Vec<_> = commits.keys().copied().collect();
+            for id in ids {
+                self.finish_commit(group, id, None);
+            }
             return;
         };
         let confirmation = state.group.confirmation(self.now);
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -160,6 +160,7 @@
                 let refusal = Refusal::new(Cause::RouteUnknown, 0);
                 self.refuse(&item.request, refusal);
             }
+            self.settle_commits(&name);
         }
     }
 
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -386,6 +386,20 @@
     assert!(sim.daemons[0].session_floor(session, "orders") > earlier);
 }
 
+// Guards against a caller that gets no answer at all to a commit that was at work when the
+// configuration took its service away.
+#[test]
+fn a_commit_whose_service_is_taken_away_is_answered() {
+    let (mut sim, session) = without_age();
+    sim.statement_time = ms(300);
+    sim.send_request(0, session, true);
+    sim.run(ms(50));
+    sim.is_service_gone = true;
+    move_route(&mut sim, session, "others");
+    sim.run(ms(500));
+    assert_eq!(sim.unknown_outcomes, 1, "{:?}", sim.decisions);
+}
+
 // Guards against a floor that is dropped while the route reads at the primary, or asks for
 // another age.
 #[test]
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -193,6 +193,8 @@
     pub aged_group: &'static str,
     /// Consistency of reads on the route `aged`.
     pub aged_reads: ReadConsistency,
+    /// Whether the configuration lacks the group of the instances.
+    pub is_service_gone: bool,
     /// Age of the data that reads on the routes `aged` and `keyed` accept, in ms.
     pub age_ms: Option<u64>,
     /// Connections that an instance accepts.
@@ -342,7 +344,9 @@
         instances: Vec::new(),
     };
     fleet.groups.insert(name(sim.aged_group), group.clone());
-    fleet.groups.insert(name("orders"), group);
+    if !sim.is_service_gone {
+        fleet.groups.insert(name("orders"), group);
+    }
     for (route, reads, group) in [
         ("latest", ReadConsistency::Latest, "orders"),
         ("aged", sim.aged_reads, sim.aged_group),
@@ -464,6 +468,7 @@
             idle_closings: Vec::new(),
             aged_group: "orders",
             aged_reads: ReadConsistency::OwnAndAge,
+            is_service_gone: false,
             age_ms: Some(1500),
             connections: options.connections,
             key_withdrawn: false,
