--- a/components/kernel/src/commits.rs
+++ b/components/kernel/src/commits.rs
@@ -168,7 +168,7 @@
         };
         let action = match result {
             Some((floor, until)) => {
-                self.sessions.raise_floor(&commit.granted, floor);
+                self.sessions.record_commit(&commit.granted, floor);
                 event::Action::AcknowledgeCommit(id, floor, until)
             }
             None => event::Action::RefuseRequest(id, Refusal::new(Cause::OutcomeUnknown, 0)),
--- a/components/kernel/src/configure.rs
+++ b/components/kernel/src/configure.rs
@@ -5,7 +5,7 @@
 use config::{Fleet, Name};
 use errors::{Cause, Refusal};
 
-use crate::{admission, budget, daemon, event, group, handover, journal, promotion};
+use crate::{admission, budget, daemon, event, group, handover, journal, promotion, time};
 
 /// Round-trip time within a failure domain.
 const SAME_DOMAIN_RTT: std_time::Duration = std_time::Duration::from_micros(200);
@@ -107,6 +107,8 @@
                 promotion: promotion::Promotion::default(),
                 handover: handover::Handover::default(),
                 primary: None,
+                replica_change: None,
+                replicas_checked: time::Time::default(),
                 read_queue: build(queue_limit),
                 write_queue: build(queue_limit),
             };
--- a/components/kernel/src/control.rs
+++ b/components/kernel/src/control.rs
@@ -173,7 +173,7 @@
             message::Message::ConfirmTransfer(nonce) => self.budgets.confirm_transfer(nonce),
             message::Message::SuspectPrimary(suspicion) => self.handle_suspicion(from, &suspicion),
             message::Message::CloseLeader(claim) => self.handle_close_request(from, &claim),
-            message::Message::LeaderClosed(claim) => self.handle_leader_closed(from, &claim),
+            message::Message::LeaderClosed(closed) => self.handle_leader_closed(from, &closed),
             message::Message::ViewRequest(request) => self.answer_view_request(from, &request),
             message::Message::ViewReply(reply) => self.apply_view_reply(from, reply),
             message::Message::ViewChanged => self.handle_view_changed(from),
--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     admission, budget, evacuation, event, group, handover, homes, idle, journal, load, membership,
-    overload, plugin, position, promotion, read_policy, revision, sessions, time, view, view_sync,
-    warmup,
+    overload, plugin, position, promotion, read_policy, replica_set, revision, sessions, time,
+    view, view_sync, warmup,
 };
 
 /// Retry hint when no instance is available, in ms.
@@ -54,6 +54,10 @@
     pub(crate) promotion: promotion::Promotion,
     pub(crate) handover: handover::Handover,
     pub(crate) primary: Option<(position::Term, Name)>,
+    /// Difference between the stored replica set and the registered instances.
+    pub(crate) replica_change: Option<replica_set::Difference>,
+    /// When they were last compared.
+    pub(crate) replicas_checked: time::Time,
     pub(crate) read_queue: Box<dyn admission::Queue>,
     pub(crate) write_queue: Box<dyn admission::Queue>,
 }
@@ -386,6 +390,7 @@
             self.step_promotion(group);
             self.request_connections(group);
             self.advance_group(group);
+            self.maintain_replica_set(group);
         }
         self.admit_waiting();
         self.report_refusals();
--- a/components/kernel/src/group/mod.rs
+++ b/components/kernel/src/group/mod.rs
@@ -39,7 +39,7 @@
 /// Poll period for a leader while a request waits for its term.
 const TERM_POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(40);
 /// Time in which a live instance that a daemon does not know yet has registered.
-const REGISTRATION_TIME: std_time::Duration = std_time::Duration::from_secs(3);
+pub(crate) const REGISTRATION_TIME: std_time::Duration = std_time::Duration::from_secs(3);
 /// Poll period for a leader that does not answer.
 const FAILING_POLL_PERIOD: std_time::Duration = std_time::Duration::from_millis(150);
 
@@ -146,11 +146,6 @@
     failing_since: Option<time::Time>,
     /// Time from which the leader counts as silent because it is not registered.
     absent_since: Option<time::Time>,
-    /// Instances that have gone without leaving since the leader was assigned, with the
-    /// position of the leader by then, if known: they may have commits up to it.
-    departed: collections::BTreeMap<Name, Option<position::Position>>,
-    /// Positions that instances had reached before they restarted.
-    former_positions: collections::BTreeMap<Name, position::Position>,
     sampling: Sampling,
 }
 
@@ -206,8 +201,6 @@
             leader_demoted: false,
             failing_since: None,
             absent_since: None,
-            departed: collections::BTreeMap::new(),
-            former_positions: collections::BTreeMap::new(),
             sampling: Sampling::default(),
         };
         group.configure(config, now);
@@ -224,7 +217,6 @@
         self.durability = config.durability;
         let members: collections::BTreeSet<_> = config.instances.iter().map(|i| &i.name).collect();
         let knew_leader = self.is_leader_registered();
-        self.record_departures(&members);
         self.instances.retain(|name, _| members.contains(name));
         for instance in &config.instances {
             let state = self.instances.entry(instance.name.clone()).or_default();
--- a/components/kernel/src/group/store_arbiter.rs
+++ b/components/kernel/src/group/store_arbiter.rs
@@ -2,7 +2,7 @@
 //! the positions that come with answers, and the backoff of connections to
 //! instances.
 
-use std::{collections, time as std_time};
+use std::time as std_time;
 
 use config::Name;
 
@@ -142,6 +142,26 @@
         })
     }
 
+    /// Position that an instance stated in an answer to a request sent at `since` or later.
+    pub fn position_since(&self, instance: &Name, since: time::Time) -> Option<position::Position> {
+        let (sent, _) = self.instances.get(instance)?.status?;
+        self.known_position(instance).filter(|_| sent >= since)
+    }
+
+    /// Leader that this VM uses although the store has no row of it.
+    pub fn declared_leader(&self, now: time::Time) -> Option<leader::Leader> {
+        let declared = self.confirmation(now)?;
+        let start = self.known_position(&declared.primary)?;
+        Some(leader::Leader {
+            instance: Some(declared.primary),
+            term: declared.term,
+            start: Some(start).filter(|start| start.term == declared.term)?,
+            claim: None,
+            replicas: None,
+            acknowledged: None,
+        })
+    }
+
     /// Records whether a request is testing an instance whose connections have
     /// failed; other requests wait for the result.
     pub fn set_probing(&mut self, instance: &Name, is_probing: bool) {
@@ -157,35 +177,6 @@
         self.arbiter == Arbiter::Store && self.durability == config::Durability::Replica
     }
 
-    /// Records the instances that are gone although they have not said that they leave.
-    pub(super) fn record_departures(&mut self, members: &collections::BTreeSet<&Name>) {
-        self.departed.retain(|name, _| !members.contains(name));
-        let reached = self.newest_floor();
-        for (name, state) in &self.instances {
-            if !members.contains(name) && !state.leaving {
-                self.departed.insert(name.clone(), reached);
-            }
-        }
-    }
-
-    /// Instances that are gone and may have commits beyond a position.
-    pub fn departed_beyond(
-        &self,
-        position: Option<position::Position>,
-    ) -> impl Iterator<Item = &Name> {
-        let departed = self.departed.iter();
-        let departed =
-            departed.filter(move |(_, reached)| reached.is_none() || position < **reached);
-        departed.map(|(name, _)| name)
-    }
-
-    /// Whether an instance reports less than it had reached before it restarted: it has
-    /// lost commits, so that its answer tells nothing of those.
-    pub fn has_lost_commits(&self, instance: &Name, reported: position::Position) -> bool {
-        let former = self.former_positions.get(instance);
-        former.is_some_and(|former| reported < *former)
-    }
-
     /// Whether the group has had no leader for this time.
     pub fn is_leaderless(&self, limit: std_time::Duration, now: time::Time) -> bool {
         self.assignment.is_none() && now.since(self.term_changed) >= limit
@@ -193,10 +184,6 @@
 
     /// Resets the state of an instance that has restarted.
     pub fn reset_instance(&mut self, instance: &Name) {
-        if let Some(reached) = self.known_position(instance) {
-            let former = self.former_positions.entry(instance.clone()).or_default();
-            *former = (*former).max(reached);
-        }
         if let Some(state) = self.instances.get_mut(instance) {
             *state = InstanceState {
                 min_rtt: state.min_rtt,
@@ -325,6 +312,11 @@
         self.history.insert(index, sample);
     }
 
+    /// First known position of the leader at a time or later.
+    pub fn first_sample_since(&self, since: time::Time) -> Option<&sample::Sample> {
+        self.history.iter().find(|sample| sample.sent >= since)
+    }
+
     /// Newest known position of the leader.
     pub fn newest_sample(&self) -> Option<&sample::Sample> {
         self.history.back()
@@ -390,12 +382,6 @@
             self.failing_since = None;
             self.absent_since = None;
         }
-        let is_new_term = |assignment: &leader::Assignment| assignment.term > self.newest_term;
-        if assignment.as_ref().is_some_and(is_new_term) {
-            // What counts from here on are the commits of the new leader.
-            self.departed.clear();
-            self.former_positions.clear();
-        }
         if let Some(assignment) = &assignment {
             self.newest_term = self.newest_term.max(assignment.term);
         }
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::{event, group, leader, message, position, time, version, view};
 
+mod acknowledged;
 mod note;
 mod proof;
 mod resume;
@@ -105,6 +106,12 @@
     pub is_eligible: bool,
     /// Version of the group's row as known to this VM; 0 if the row does not exist.
     pub row_version: u64,
+    /// Version of the store up to which this VM knows the rows.
+    pub rows_version: u64,
+    /// Highest position that this VM has acknowledged to callers.
+    pub acknowledged: position::Position,
+    /// Time from which on every process that may acknowledge commits has been listed.
+    pub users_known: Option<time::Time>,
     /// Version that the store has of the row. It is older than the known one if the
     /// store came back from an older copy.
     pub stored_version: u64,
@@ -231,10 +238,12 @@
     }
 
     /// Records that a VM no longer uses the leader.
-    pub fn record_closed(&mut self, vm: &Name, token: u64) {
-        let Some(attempt) = self.attempt.as_mut().filter(|a| a.token == Some(token)) else {
+    pub fn record_closed(&mut self, vm: &Name, closed: &message::Closed) {
+        let is_asked = |attempt: &&mut Attempt| attempt.close_token == Some(closed.claim.token);
+        let Some(attempt) = self.attempt.as_mut().filter(is_asked) else {
             return;
         };
+        attempt.closed.insert(vm.clone(), closed.acknowledged);
         if let Stage::Closing { waiting, .. } = &mut attempt.stage {
             waiting.remove(vm);
         }
@@ -276,6 +285,10 @@
             (Stage::Claiming, event::StoreOutcome::Written(version)) => {
                 attempt.token = Some(version)
             }
+            // The position up to which commits are acknowledged was added to the claim.
+            (Stage::Pausing { .. }, event::StoreOutcome::Written(version)) => {
+                attempt.token = attempt.token.max(Some(version));
+            }
             // The next version of the row shows whether the write took effect.
             (Stage::Recording { sent, .. }, event::StoreOutcome::Unknown) => *sent = Some(now),
             _ => {}
@@ -485,6 +498,7 @@
 
     fn claim_row(&mut self, planned: bool, context: &Context<'_>, out: &mut Vec<Step>) {
         let row = context.leader.as_ref();
+        let proven = row.filter(|_| context.is_proven);
         let assigned = context
             .group
             .assignment()
@@ -508,6 +522,9 @@
                 number: self.last_number,
                 planned,
             }),
+            replicas: proven.and_then(|row| row.replicas.clone()),
+            // Nothing has been acknowledged since an earlier claim.
+            acknowledged: proven.and_then(|row| row.acknowledged),
         };
         out.push(Step::Note(Note::Claiming {
             planned,
@@ -538,6 +555,11 @@
             is_takeover: has_earlier,
             had_led: false,
             is_unproved_noted: false,
+            close_token: None,
+            last_close: time::Time::default(),
+            closed: collections::BTreeMap::new(),
+            acknowledged: None,
+            stored_at: None,
             stage: Stage::Claiming,
         });
     }
@@ -556,6 +578,9 @@
         if attempt.awaits_order(context.now) {
             return Some(attempt);
         }
+        if attempt.token.is_some() && attempt.is_claimed(context) {
+            attempt.token = attempt.token.max(Some(context.row_version));
+        }
         let is_row_newer = attempt
             .token
             .is_some_and(|token| context.row_version > token);
@@ -600,11 +625,7 @@
         }
         match std::mem::replace(&mut attempt.stage, Stage::Claiming) {
             Stage::Claiming => {
-                let claim = context.leader.as_ref().and_then(|row| row.claim.as_ref());
-                let is_mine = claim.is_some_and(|claim| {
-                    claim.holder == context.own && claim.number == attempt.number
-                });
-                if is_mine {
+                if attempt.is_claimed(context) {
                     attempt.token = Some(context.row_version);
                 }
                 let Some(token) = attempt.token else {
@@ -702,6 +723,7 @@
         );
         out.push(Step::StopUsing);
         self.claimed_at = Some(attempt.claim_sent);
+        attempt.close_token = Some(token);
         self.close_locally(context, out);
         attempt.stage = Stage::Closing {
             since: context.now,
@@ -738,13 +760,8 @@
         }
         if last_request.is_none_or(|at| context.now.since(at) >= CLOSE_PERIOD) {
             last_request = Some(context.now);
-            let claim = message::Claim {
-                group: context.group.name().clone(),
-                token: attempt.token.unwrap_or_default(),
-                planned: attempt.planned,
-            };
             for vm in &waiting {
-                out.push(Step::RequestClose(vm.clone(), claim.clone()));
+                out.push(attempt.request_close(vm, context));
             }
         }
         Stage::Closing {
--- a/components/kernel/src/handover/note.rs
+++ b/components/kernel/src/handover/note.rs
@@ -4,7 +4,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::position;
+use crate::{journal, position};
 
 /// Event of a replacement, with its reason.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,12 +47,18 @@
     /// No candidate is proved to have every acknowledged commit.
     #[display(
         "no candidate is proved to have every commit: {} may have more and have not answered",
-        list(missing)
+        journal::list_names(missing)
     )]
     Unproved {
         /// Instances that are waited for.
         missing: Vec<Name>,
     },
+    /// All VMs have stated what they acknowledged.
+    #[display("every acknowledged commit is at or below {lsn}")]
+    Acknowledged {
+        /// Position of the last acknowledged commit, or beyond.
+        lsn: position::Lsn,
+    },
     /// Only instances of abandoned branches have answered; the best of them is used.
     #[display(
         "{instance} is on an abandoned branch at {position}: the last term began at {start}, and no instance of it answers"
@@ -124,12 +130,6 @@
     },
 }
 
-/// Names in one line.
-fn list(names: &[Name]) -> String {
-    let names: Vec<&str> = names.iter().map(|name| &***name).collect();
-    names.join(", ")
-}
-
 /// Reason for giving up a replacement.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/kernel/src/handover/proof.rs
+++ b/components/kernel/src/handover/proof.rs
@@ -7,7 +7,7 @@
 //! highest term leads if all others have answered with no later one. The row that a voter
 //! then writes is proof to all.
 
-use std::time as std_time;
+use std::{collections, time as std_time};
 
 use super::{Context, Note, RETRY_DELAY, Step, stage};
 use crate::{leader, position, time};
@@ -68,8 +68,12 @@
     since: time::Time,
     waited: std_time::Duration,
 ) -> Option<(Note, leader::Leader)> {
+    let row = context.leader.as_ref();
     let names = context.group.instances.keys();
-    let known = names.len();
+    let stored = row.and_then(|row| row.replicas.as_deref());
+    let stored = stored.into_iter().flat_map(collections::BTreeMap::keys);
+    let known = names.clone().chain(stored);
+    let known = known.collect::<collections::BTreeSet<_>>().len();
     let statuses: Vec<_> = names
         .filter_map(|name| Some((name, stage::status_since(context, name, since)?)))
         .collect();
@@ -79,7 +83,6 @@
         return None;
     }
     let newest = statuses.iter().map(|(_, status)| status.term).max()?;
-    let row = context.leader.as_ref();
     let mut primaries = statuses.iter().filter(|(_, status)| {
         status.role == position::Role::Primary
             && status.term == newest
@@ -105,6 +108,8 @@
         term: status.term,
         start: recorded.map_or(received, |row| row.start),
         claim: None,
+        replicas: None,
+        acknowledged: None,
     };
     Some((note, leader))
 }
--- a/components/kernel/src/handover/stage.rs
+++ b/components/kernel/src/handover/stage.rs
@@ -6,7 +6,7 @@
 use config::Name;
 
 use super::{CLAIM_LIFETIME, Context, Note, RETRY_DELAY, Step, synchronous};
-use crate::{event, group, leader, position, time};
+use crate::{event, group, leader, message, position, replica_set, time};
 
 /// Time limit for a replica to reach the last position of the old leader in a
 /// planned replacement.
@@ -119,6 +119,16 @@
     pub(super) had_led: bool,
     /// Whether a note says that no candidate is proved to have every commit.
     pub(super) is_unproved_noted: bool,
+    /// Token by which the VMs were asked to stop using the leader.
+    pub(super) close_token: Option<u64>,
+    /// When VMs that had not stopped were last asked again while no candidate is proved.
+    pub(super) last_close: time::Time,
+    /// VMs that have stopped using the leader, with what they have acknowledged, if they state it.
+    pub(super) closed: collections::BTreeMap<Name, Option<position::Position>>,
+    /// Position of the last acknowledged commit or beyond, once it is known.
+    pub(super) acknowledged: Option<position::Lsn>,
+    /// When this position was last written to the row.
+    pub(super) stored_at: Option<time::Time>,
     pub(super) stage: Stage,
 }
 
@@ -128,6 +138,22 @@
         self.claim_sent + CLAIM_LIFETIME
     }
 
+    /// Whether the group's row holds the claim.
+    pub(super) fn is_claimed(&self, context: &Context<'_>) -> bool {
+        let claim = context.leader.as_ref().and_then(|row| row.claim.as_ref());
+        claim.is_some_and(|claim| claim.holder == context.own && claim.number == self.number)
+    }
+
+    /// Step that asks a VM to stop using the leader.
+    pub(super) fn request_close(&self, vm: &Name, context: &Context<'_>) -> Step {
+        let claim = message::Claim {
+            group: context.group.name().clone(),
+            token: self.close_token.unwrap_or_default(),
+            planned: self.planned,
+        };
+        Step::RequestClose(vm.clone(), claim)
+    }
+
     /// Leader that another one has replaced, if the attempt did not keep it.
     pub(super) fn replaced_leader(&self) -> Option<&Name> {
         let recorded = match &self.stage {
@@ -273,6 +299,8 @@
             .filter(|start| *start != position::Position::default())
             .unwrap_or(received),
         claim: None,
+        replicas: context.leader.as_ref().and_then(|row| row.replicas.clone()),
+        acknowledged: None,
     };
     out.push(Step::Write(
         attempt.token.unwrap_or_default(),
@@ -284,8 +312,29 @@
     }
 }
 
+/// Replica set under the leader of a term that is to be recorded.
+fn recorded_replicas(
+    term: position::Term,
+    context: &Context<'_>,
+) -> Option<replica_set::ReplicaSet> {
+    let row = context.leader.as_ref()?;
+    let replicas = row.replicas.clone()?;
+    // The commits of an earlier term are at the new leader, whoever else had them.
+    let starts = (term > row.term).then(|| context.view.starts(context.group.name()));
+    Some(starts.map_or(replicas.clone(), |starts| replicas.promoted(&starts)))
+}
+
+/// Offset up to which the log of an instance at a position is that of the recorded term.
+pub(super) fn shared_lsn(position: position::Position, context: &Context<'_>) -> position::Lsn {
+    if is_abandoned(position, context) {
+        recorded_start(context).lsn
+    } else {
+        position.lsn
+    }
+}
+
 /// Position at which the recorded term began; term 0 if unknown.
-fn recorded_start(context: &Context<'_>) -> position::Position {
+pub(super) fn recorded_start(context: &Context<'_>) -> position::Position {
     let row = context.leader.as_ref();
     row.map(|row| row.start).unwrap_or_default()
 }
@@ -524,6 +573,8 @@
             term: status.term,
             start,
             claim: None,
+            replicas: recorded_replicas(status.term, context),
+            acknowledged: None,
         };
         out.push(Step::Write(
             attempt.token.unwrap_or_default(),
--- a/components/kernel/src/journal.rs
+++ b/components/kernel/src/journal.rs
@@ -184,6 +184,19 @@
         /// Number of rows.
         rows: usize,
     },
+    /// The instances that may hold an acknowledged commit are stored.
+    #[display(
+        "replica set of {group}: {}, {caught_up} of them caught up",
+        list_names(replicas)
+    )]
+    ReplicaSet {
+        /// Group.
+        group: Name,
+        /// Instances that may hold an acknowledged commit.
+        replicas: Vec<Name>,
+        /// Number of those whose log has all that former processes had.
+        caught_up: usize,
+    },
     /// Requests of one customer were refused.
     #[display("{count} requests of {customer} refused: {cause}")]
     Refusals {
@@ -263,14 +276,19 @@
 }
 
 fn list_regions(regions: &[Name]) -> String {
-    let names: Vec<_> = regions.iter().map(ToString::to_string).collect();
-    if names.is_empty() {
+    if regions.is_empty() {
         "any region".into()
     } else {
-        names.join(", ")
+        list_names(regions)
     }
 }
 
+/// Names in one line.
+pub(crate) fn list_names(names: &[Name]) -> String {
+    let names: Vec<&str> = names.iter().map(|name| &***name).collect();
+    names.join(", ")
+}
+
 /// Why a VM is not ready.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/kernel/src/leader.rs
+++ b/components/kernel/src/leader.rs
@@ -8,7 +8,7 @@
 use config::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{event, position, time};
+use crate::{event, position, replica_set, time};
 
 /// Row of a group: its leader, or the replacement in progress.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +22,14 @@
     pub start: position::Position,
     /// Replacement in progress.
     pub claim: Option<Claim>,
+    /// Instances that may hold an acknowledged commit; none if unknown, and where commits wait
+    /// for no replica.
+    #[serde(default)]
+    pub replicas: Option<replica_set::ReplicaSet>,
+    /// Position of the last acknowledged commit or beyond; only beside a claim, under which
+    /// nothing is acknowledged.
+    #[serde(default)]
+    pub acknowledged: Option<position::Lsn>,
 }
 
 /// Exclusive right of one VM to replace a leader.
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod read_policy;
 pub mod rendezvous;
 mod replacement;
+pub mod replica_set;
 mod reports;
 mod requirement;
 pub mod revision;
--- a/components/kernel/src/message.rs
+++ b/components/kernel/src/message.rs
@@ -90,6 +90,16 @@
     pub planned: bool,
 }
 
+/// Confirmation that a VM no longer uses the leader that a claim replaces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Closed {
+    /// Claim that is confirmed.
+    pub claim: Claim,
+    /// Highest position that this process has acknowledged to callers, 0 if none; not known
+    /// of processes of earlier versions.
+    pub acknowledged: Option<position::Position>,
+}
+
 /// A suspicion that a group's primary is lost.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -164,7 +174,7 @@
     CloseLeader(Claim),
     /// Confirms that the sender no longer uses the leader, and acknowledges no more
     /// commits of that leader.
-    LeaderClosed(Claim),
+    LeaderClosed(Closed),
     /// Requests what has changed in the store.
     ViewRequest(ViewRequest),
     /// Returns what has changed in the store.
--- a/components/kernel/src/replacement.rs
+++ b/components/kernel/src/replacement.rs
@@ -27,6 +27,17 @@
             now: self.now,
             own,
             rank: rank.unwrap_or(voters.len()),
+            users_known: self.store_watch.users_known(),
+            rows_version: self
+                .view
+                .known_version(view::Part::Rows)
+                .unwrap_or_default(),
+            acknowledged: self
+                .sessions
+                .acknowledged
+                .get(group)
+                .copied()
+                .unwrap_or_default(),
             voters,
             peers,
             is_eligible: is_eligible && !self.is_stopping,
@@ -122,7 +133,12 @@
                 self.send(vm, message::Message::CloseLeader(claim));
             }
             handover::Step::ReportClosed(vm, claim) => {
-                self.send(vm, message::Message::LeaderClosed(claim));
+                let acknowledged = self.sessions.acknowledged.get(group).copied();
+                let closed = message::Closed {
+                    claim,
+                    acknowledged: Some(acknowledged.unwrap_or_default()),
+                };
+                self.send(vm, message::Message::LeaderClosed(closed));
             }
             handover::Step::StopUsing => {
                 self.refresh_assignments();
@@ -189,10 +205,11 @@
         self.step_handover(&claim.group);
     }
 
-    pub(crate) fn handle_leader_closed(&mut self, from: &Name, claim: &message::Claim) {
-        if let Some(state) = self.groups.get_mut(&claim.group) {
-            state.handover.record_closed(from, claim.token);
+    pub(crate) fn handle_leader_closed(&mut self, from: &Name, closed: &message::Closed) {
+        let group = &closed.claim.group;
+        if let Some(state) = self.groups.get_mut(group) {
+            state.handover.record_closed(from, closed);
         }
-        self.step_handover(&claim.group);
+        self.step_handover(group);
     }
 }
--- a/components/kernel/src/sessions.rs
+++ b/components/kernel/src/sessions.rs
@@ -114,11 +114,17 @@
     /// Commits that have not been acknowledged, by group.
     pub pending_commits:
         collections::BTreeMap<Name, collections::BTreeMap<event::RequestId, PendingCommit>>,
+    /// Highest position that this process has acknowledged, by group.
+    pub acknowledged: collections::BTreeMap<Name, position::Position>,
 }
 
 impl Sessions {
-    /// Raises the floor of a request's session in the group in which the request ran.
-    pub fn raise_floor(&mut self, granted: &GrantedRequest, floor: position::Position) {
+    /// Records that the commit of a request is acknowledged, and raises the floor of its
+    /// session in the group in which it ran.
+    pub fn record_commit(&mut self, granted: &GrantedRequest, floor: position::Position) {
+        let acknowledged = self.acknowledged.entry(granted.group.clone());
+        let acknowledged = acknowledged.or_insert(floor);
+        *acknowledged = (*acknowledged).max(floor);
         if let Some(session) = self.open.get_mut(&granted.session) {
             session.raise_floor(&granted.group, floor);
         }
--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -5,7 +5,7 @@
 
 use config::Name;
 
-use crate::{daemon, event, group, journal, leader, message, reports, sample, time, version, view};
+use crate::{daemon, event, group, journal, message, reports, sample, time, version, view};
 
 /// Time after which a VM repeats its registration if the store did not answer or
 /// refused the write: when many VMs start at once, they use up the store's rate of
@@ -40,6 +40,10 @@
     doubts: collections::BTreeMap<Name, (u64, time::Time)>,
     /// Start of each instance, in Unix milliseconds.
     start_times: collections::BTreeMap<Name, u64>,
+    /// Listed processes, by VM, that may acknowledge commits.
+    users: collections::BTreeMap<Name, u64>,
+    /// Time from which on every process that may acknowledge commits has been listed.
+    users_known: Option<time::Time>,
     /// When the store was first seen to have come back from an older copy.
     restored_at: Option<time::Time>,
     /// When this VM last wrote lost rows again.
@@ -56,6 +60,32 @@
         new
     }
 
+    /// Time from which on every process that may have acknowledged a commit is one that is
+    /// listed now; none if the list has not been read.
+    pub fn users_known(&self) -> Option<time::Time> {
+        self.users_known
+    }
+
+    /// Records the processes that may acknowledge commits. One that has been replaced or has
+    /// stopped has ended by now. One that was removed, or that may have been before the first
+    /// list, uses leaders for another lease at most.
+    fn record_users(
+        &mut self,
+        users: collections::BTreeMap<Name, u64>,
+        is_unlisted: impl Fn(&Name) -> bool,
+        lease: std_time::Duration,
+        now: time::Time,
+    ) {
+        let mut known = self.users_known.unwrap_or(now + lease);
+        for (vm, incarnation) in &self.users {
+            if users.get(vm) != Some(incarnation) {
+                known = known.max(if is_unlisted(vm) { now + lease } else { now });
+            }
+        }
+        self.users_known = Some(known);
+        self.users = users;
+    }
+
     /// When the store was first seen to have come back from an older copy.
     pub fn restored_at(&self) -> Option<time::Time> {
         self.restored_at
@@ -88,6 +118,7 @@
             let has_gap = has_gap && part == view::Part::Rows;
             if has_gap {
                 self.view.record_gap();
+                self.store_watch.users_known = None;
             }
             self.record_restored(part, has_gap);
         } else if era.is_none() && self.view.era(part) > 0 && part == view::Part::Rows {
@@ -229,17 +260,9 @@
             .map(|(_, version, row)| self.row_change(row.key(), version, Some(row.clone())))
             .collect();
         for (group, state) in self.groups.iter().filter(|(group, _)| is_used(group)) {
-            let declared = state.group.confirmation(self.now);
-            let declared = declared.filter(|_| self.view.leader(group).is_none());
-            let leader = declared.and_then(|declared| {
-                let start = state.group.known_position(&declared.primary)?;
-                Some(leader::Leader {
-                    instance: Some(declared.primary),
-                    term: declared.term,
-                    start: Some(start).filter(|start| start.term == declared.term)?,
-                    claim: None,
-                })
-            });
+            let is_stored = self.view.leader(group).is_some();
+            let leader = state.group.declared_leader(self.now);
+            let leader = leader.filter(|_| !is_stored);
             changes.extend(leader.map(|leader| {
                 let row = event::Row::Leader(group.clone(), leader);
                 self.row_change(row.key(), self.view.stored_version(&row.key()), Some(row))
@@ -339,6 +362,12 @@
         }
         let versions = entries.iter().map(|(version, _)| *version);
         self.members.set_list_digest(reports::digest(versions));
+        let users = entries.iter().filter(|(_, entry)| !entry.released);
+        let users = users.map(|(_, entry)| (entry.vm.name.clone(), entry.incarnation));
+        let (view, lease) = (&self.view, self.setup.timing.lease);
+        let is_unlisted = |vm: &Name| view.member(vm).is_none();
+        self.store_watch
+            .record_users(users.collect(), is_unlisted, lease, self.now);
         self.handle_vm_list(vms);
         for (version, entry) in &entries {
             self.members.apply_entry(*version, entry, self.now);
--- a/components/kernel/src/view/mod.rs
+++ b/components/kernel/src/view/mod.rs
@@ -11,7 +11,7 @@
 use config::{Fleet, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::{event, leader, position, time, version};
+use crate::{event, leader, position, replica_set, time, version};
 
 mod change_log;
 mod evacuated;
@@ -527,6 +527,15 @@
             .map(|(name, entry)| (name.clone(), entry.born))
     }
 
+    /// Starts of the processes of a group's instances.
+    pub fn starts(&self, group: &Name) -> replica_set::Starts {
+        let entries = self.usable_instances();
+        let entries = entries.filter(|(_, entry)| entry.group == *group);
+        entries
+            .map(|(name, entry)| (name.clone(), entry.born))
+            .collect()
+    }
+
     /// A row with its version.
     pub fn row(&self, key: &event::RowKey) -> Option<&(u64, event::Row)> {
         self.rows.get(key)
--- a/components/kernel/src/view_sync.rs
+++ b/components/kernel/src/view_sync.rs
@@ -70,6 +70,15 @@
     reads: collections::BTreeMap<view::Part, Reads>,
     /// When the first read of the store succeeded.
     first_answer: Option<time::Time>,
+    /// When a read of the store last failed.
+    last_failure: Option<time::Time>,
+}
+
+impl State {
+    /// When a read of the store by this VM last failed.
+    pub(crate) fn last_failure(&self) -> Option<time::Time> {
+        self.last_failure
+    }
 }
 
 /// A VM that follows this one.
@@ -199,6 +208,7 @@
         if read.failed {
             reads.failures = reads.failures.saturating_add(1);
             reads.next_at = self.now + pause;
+            self.view_sync.last_failure = Some(self.now);
         } else {
             reads.failures = 0;
             reads.next_at = read.sent + pause;
--- a/components/kernel/tests/stale_reads.rs
+++ b/components/kernel/tests/stale_reads.rs
@@ -152,6 +152,8 @@
         term: position::Term(1),
         start: position::Position::default(),
         claim: None,
+        replicas: None,
+        acknowledged: None,
     };
     let row = event::Row::Leader(store_arbiter::name("orders"), row);
     sim.store.put(row);
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -568,6 +568,8 @@
                 number: 1,
                 planned: false,
             }),
+            replicas: None,
+            acknowledged: None,
         };
         self.store.put(event::Row::Leader(name("orders"), leader));
     }
--- a/components/kernel/tests/synchronous.rs
+++ b/components/kernel/tests/synchronous.rs
@@ -199,11 +199,12 @@
     sim.instances[0].role = kernel::position::Role::Replica;
     sim.instances[1].role = kernel::position::Role::Primary;
     sim.instances[1].term = 2;
-    sim.instances[1].received += 5;
     sim.run(ms(50));
     sim.instances[0].replication_cut = true;
     sim.instances[0].term = 2;
-    sim.instances[0].received -= 3;
+    let before = sim.acknowledged.len();
+    sim.write_for(300);
+    assert!(sim.acknowledged.len() > before, "{:?}", sim.decisions);
     set_dark(&mut sim, 2, true);
     set_dark(&mut sim, 1, true);
     sim.write_for(4000);
@@ -238,3 +239,222 @@
     assert_served_within(&mut sim, 3000);
     assert_eq!(sim.leader(), Some(0), "{:?}", sim.decisions);
 }
+
+/// Ends the process of an instance.
+fn crash(sim: &mut Simulation, instance: usize) {
+    sim.instances[instance].is_alive = false;
+}
+
+/// Starts an instance again, with its log or with nothing, and registers it.
+fn come_back(sim: &mut Simulation, instance: usize, has_log: bool) {
+    let newest = sim.instances.iter().filter(|fake| fake.is_alive);
+    let newest = newest.map(|fake| fake.term).max();
+    let fake = &mut sim.instances[instance];
+    fake.is_alive = true;
+    fake.started += 1;
+    fake.replication_paused = false;
+    if !has_log {
+        (fake.term, fake.received) = (0, 0);
+    }
+    if !has_log || newest > Some(fake.term) {
+        fake.role = kernel::position::Role::Replica;
+    }
+    sim.lapsed_entries.remove(&instance);
+}
+
+/// Simulation whose replica set is stored, in which instance 2 has just fallen behind by a few
+/// commits, which are at instances 0 and 1 and acknowledged.
+fn with_far_replica() -> Simulation {
+    let mut sim = Simulation::new(&Options {
+        is_synchronous: true,
+        ..Options::default()
+    });
+    sim.write_for(9000);
+    // Each VM notes a position of the leader, and none that follows at once.
+    write_once(&mut sim);
+    sim.instances[2].replication_cut = true;
+    let before = sim.acknowledged.len();
+    write_once(&mut sim);
+    assert!(sim.acknowledged.len() > before);
+    assert!(sim.instances[1].received > sim.instances[2].received);
+    sim
+}
+
+/// Sends a write through each VM, and waits until it is answered.
+fn write_once(sim: &mut Simulation) {
+    for vm in 0..sim.daemons.len() {
+        let session = sim.open_session(vm, "latest");
+        sim.send_request(vm, session, true);
+    }
+    sim.run(ms(20));
+}
+
+fn restart_all(sim: &mut Simulation) {
+    (0..sim.daemons.len()).for_each(|vm| sim.restart(vm));
+}
+
+/// Time for which the entry of an instance that has crashed stays.
+const ENTRY_TIME: u64 = 3600;
+/// Time until writes are served after an instance with every commit has registered.
+const RETURN_TIME: u64 = 1500;
+
+// Guards against the promotion of a replica that is behind by less than the positions lie apart
+// that were noted of the leader, once the entries of the instances that crashed have expired.
+#[test]
+fn two_instances_that_crash_together_are_waited_for() {
+    for span in [5000, 7000, 12_000] {
+        let mut sim = with_far_replica();
+        crash(&mut sim, 0);
+        crash(&mut sim, 1);
+        sim.write_for(ENTRY_TIME);
+        sim.lapsed_entries.extend([0, 1]);
+        sim.write_for(span);
+        assert_eq!(sim.promotion_orders, [], "{span}: {:?}", sim.decisions);
+        sim.instances[2].replication_cut = false;
+        come_back(&mut sim, 1, true);
+        assert_served_within(&mut sim, RETURN_TIME);
+        assert_eq!(sim.leader(), Some(1), "{span}: {:?}", sim.decisions);
+    }
+}
+
+// Guards against the list of registered instances as it is right after an outage of the store,
+// in which an instance came back and received commits.
+#[test]
+fn an_instance_that_came_back_during_an_outage_is_waited_for() {
+    let mut sim = Simulation::new(&Options {
+        is_synchronous: true,
+        lease_ms: 4200,
+        ..Options::default()
+    });
+    sim.write_for(9000);
+    crash(&mut sim, 1);
+    sim.write_for(ENTRY_TIME);
+    sim.lapsed_entries.insert(1);
+    sim.write_for(3200);
+    sim.cut_store.extend(0..3);
+    sim.write_for(500);
+    come_back(&mut sim, 1, true);
+    sim.lapsed_entries.insert(1);
+    sim.write_for(2000);
+    sim.instances[2].replication_cut = true;
+    sim.write_for(50);
+    crash(&mut sim, 0);
+    sim.write_for(1000);
+    sim.cut_store.clear();
+    sim.write_for(800);
+    assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
+    sim.instances[2].replication_cut = false;
+    sim.lapsed_entries.remove(&1);
+    assert_served_within(&mut sim, RETURN_TIME);
+    assert_eq!(sim.leader(), Some(1), "{:?}", sim.decisions);
+}
+
+// Guards against processes that start while instances are away, and know nothing of those:
+// after the positions were stated, and at the moment of the crash.
+#[test]
+fn processes_that_start_anew_know_which_instances_may_have_commits() {
+    for restarted_after in [0, 100, ENTRY_TIME] {
+        let mut sim = with_far_replica();
+        crash(&mut sim, 0);
+        crash(&mut sim, 1);
+        if restarted_after > 0 {
+            sim.write_for(restarted_after);
+        }
+        restart_all(&mut sim);
+        sim.write_for(ENTRY_TIME);
+        sim.lapsed_entries.extend([0, 1]);
+        restart_all(&mut sim);
+        sim.write_for(8000);
+        assert_eq!(
+            sim.promotion_orders,
+            [],
+            "{restarted_after}: {:?}",
+            sim.decisions
+        );
+        sim.instances[2].replication_cut = false;
+        come_back(&mut sim, 1, true);
+        assert_served_within(&mut sim, RETURN_TIME);
+        assert_eq!(
+            sim.leader(),
+            Some(1),
+            "{restarted_after}: {:?}",
+            sim.decisions
+        );
+    }
+}
+
+// Guards against an instance whose answer counts though it has started again with nothing.
+#[test]
+fn an_instance_that_is_born_anew_proves_nothing() {
+    for has_new_processes in [false, true] {
+        let mut sim = with_far_replica();
+        crash(&mut sim, 0);
+        crash(&mut sim, 1);
+        if has_new_processes {
+            restart_all(&mut sim);
+        }
+        sim.write_for(1000);
+        come_back(&mut sim, 1, false);
+        sim.write_for(8000);
+        assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
+        sim.instances[2].replication_cut = false;
+        come_back(&mut sim, 0, true);
+        assert_served_within(&mut sim, RETURN_TIME);
+        assert_eq!(sim.leader(), Some(0), "{:?}", sim.decisions);
+    }
+}
+
+// Guards against a wait for an instance that is lost for good, though what it had is elsewhere.
+#[test]
+fn an_instance_that_is_lost_for_good_is_not_waited_for() {
+    for has_new_processes in [false, true] {
+        let mut sim = Simulation::new(&Options {
+            is_synchronous: true,
+            ..Options::default()
+        });
+        sim.write_for(9000);
+        crash(&mut sim, 1);
+        sim.write_for(ENTRY_TIME);
+        sim.lapsed_entries.insert(1);
+        sim.write_for(15_000);
+        crash(&mut sim, 0);
+        if has_new_processes {
+            restart_all(&mut sim);
+            // The new processes register, and notice the loss of the leader.
+            sim.write_for(2000);
+            sim.write_for(2000);
+        }
+        sim.write_for(2000);
+        assert_eq!(sim.leader(), Some(2), "{:?}", sim.decisions);
+        // A commit needs a replica.
+        come_back(&mut sim, 0, true);
+        assert_served_within(&mut sim, RETURN_TIME);
+    }
+}
+
+// Guards against a set of an older copy of the store, which lacks an instance that has joined.
+#[test]
+fn a_set_from_an_older_copy_proves_nothing() {
+    let mut sim = Simulation::new(&Options {
+        is_synchronous: true,
+        ..Options::default()
+    });
+    sim.lapsed_entries.insert(1);
+    sim.write_for(12_000);
+    let copy = sim.store.copy();
+    sim.lapsed_entries.remove(&1);
+    sim.write_for(1000);
+    sim.instances[2].replication_cut = true;
+    sim.write_for(50);
+    crash(&mut sim, 0);
+    crash(&mut sim, 1);
+    sim.lapsed_entries.extend([0, 1]);
+    sim.store.restore(copy);
+    restart_all(&mut sim);
+    sim.write_for(8000);
+    assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
+    sim.instances[2].replication_cut = false;
+    come_back(&mut sim, 0, true);
+    assert_served_within(&mut sim, 6000);
+    assert_eq!(sim.leader(), Some(0), "{:?}", sim.decisions);
+}
--- a/components/peer/schema/peer.capnp
+++ b/components/peer/schema/peer.capnp
@@ -82,6 +82,10 @@
   group @0 :Text;
   token @1 :UInt64;
   planned @2 :Bool;
+  # In `closed`: whether the sender states the highest position that it has acknowledged.
+  counted @3 :Bool;
+  term @4 :UInt64;
+  lsn @5 :UInt64;
 }
 
 struct Heard {
--- a/components/peer/src/codec.rs
+++ b/components/peer/src/codec.rs
@@ -114,7 +114,14 @@
             to.set_term(suspicion.term.0);
         }
         message::Message::CloseLeader(claim) => write_claim(claim, to.init_close()),
-        message::Message::LeaderClosed(claim) => write_claim(claim, to.init_closed()),
+        message::Message::LeaderClosed(closed) => {
+            let mut to = to.init_closed();
+            write_claim(&closed.claim, to.reborrow());
+            let acknowledged = closed.acknowledged.unwrap_or_default();
+            to.set_counted(closed.acknowledged.is_some());
+            to.set_term(acknowledged.term.0);
+            to.set_lsn(acknowledged.lsn.0);
+        }
         message::Message::ViewRequest(request) => {
             let mut to = to.init_follow();
             to.set_sent(request.sent.0);
@@ -277,7 +284,17 @@
             })
         }
         Which::Close(from) => message::Message::CloseLeader(read_claim(from?)?),
-        Which::Closed(from) => message::Message::LeaderClosed(read_claim(from?)?),
+        Which::Closed(from) => {
+            let from = from?;
+            let acknowledged = position::Position {
+                term: position::Term(from.get_term()),
+                lsn: position::Lsn(from.get_lsn()),
+            };
+            message::Message::LeaderClosed(message::Closed {
+                claim: read_claim(from)?,
+                acknowledged: Some(acknowledged).filter(|_| from.get_counted()),
+            })
+        }
         Which::Follow(from) => {
             let from = from?;
             message::Message::ViewRequest(message::ViewRequest {
--- a/components/peer/src/peer_capnp.rs
+++ b/components/peer/src/peer_capnp.rs
@@ -3089,11 +3089,23 @@
         pub fn get_planned(self) -> bool {
             self.reader.get_bool_field(64)
         }
+        #[inline]
+        pub fn get_counted(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_lsn(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3175,6 +3187,30 @@
         pub fn set_planned(&mut self, value: bool)  {
             self.builder.set_bool_field(64, value);
         }
+        #[inline]
+        pub fn get_counted(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_counted(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_term(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_lsn(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_lsn(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3186,45 +3222,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(193, 47, 159, 178, 58, 224, 51, 237),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 74, 232, 197, 179, 240, 161, 214),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 97, 105, 109),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3249,12 +3306,39 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 115, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3268,9 +3352,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,5,2,4,1];
         pub(crate) const TYPE_ID: u64 = 0xed33_e03a_b29f_2fc1;
     }
 }
@@ -4584,38 +4668,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(217, 53, 119, 253, 244, 39, 239, 255),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(39, 74, 232, 197, 179, 240, 161, 214),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 2, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 99, 97, 114, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 97, 116, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4633,11 +4724,20 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 114, 109, 117, 112, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4652,8 +4752,8 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xffef_27f4_fd77_35d9;
     }
     pub enum Which<A0,A1,A2> {
