--- a/components/kernel/src/store_watch.rs
+++ b/components/kernel/src/store_watch.rs
@@ -67,20 +67,29 @@
     }
 
     /// Records the processes that may acknowledge commits. One that has been replaced or has
-    /// stopped has ended by now. One that was removed, or that may have been before the first
-    /// list, uses leaders for another lease at most.
-    fn record_users(
-        &mut self,
-        users: collections::BTreeMap<Name, u64>,
-        is_unlisted: impl Fn(&Name) -> bool,
-        lease: std_time::Duration,
-        now: time::Time,
-    ) {
-        let mut known = self.users_known.unwrap_or(now + lease);
-        for (vm, incarnation) in &self.users {
-            if users.get(vm) != Some(incarnation) {
-                known = known.max(if is_unlisted(vm) { now + lease } else { now });
-            }
+    /// stopped has ended by now. One that was removed uses leaders for another lease at most.
+    fn record_users(&mut self, view: &view::View, lease: std_time::Duration, now: time::Time) {
+        let users = view.members().filter(|(_, entry)| !entry.released);
+        let users = users.map(|(_, entry)| (entry.vm.name.clone(), entry.incarnation));
+        let users: collections::BTreeMap<_, _> = users.collect();
+        let mut ended: Vec<_> = self
+            .users
+            .iter()
+            .filter(|(vm, incarnation)| users.get(*vm) != Some(*incarnation))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        if self.users_known.is_none()
+            && let Some((_, event::Row::Epoch(epoch))) = view.row(&event::RowKey::Epoch)
+        {
+            // A process uses leaders only as a member of an epoch, and a removed one stays among
+            // the former members for longer than a lease.
+            let members = epoch.members.iter().chain(&epoch.former);
+            ended.extend(members.map(|member| member.vm.clone()));
+        }
+        let mut known = self.users_known.unwrap_or(now);
+        for vm in ended {
+            let is_removed = view.member(&vm).is_none();
+            known = known.max(if is_removed { now + lease } else { now });
         }
         self.users_known = Some(known);
         self.users = users;
@@ -362,12 +371,8 @@
         }
         let versions = entries.iter().map(|(version, _)| *version);
         self.members.set_list_digest(reports::digest(versions));
-        let users = entries.iter().filter(|(_, entry)| !entry.released);
-        let users = users.map(|(_, entry)| (entry.vm.name.clone(), entry.incarnation));
-        let (view, lease) = (&self.view, self.setup.timing.lease);
-        let is_unlisted = |vm: &Name| view.member(vm).is_none();
-        self.store_watch
-            .record_users(users.collect(), is_unlisted, lease, self.now);
+        let lease = self.setup.timing.lease;
+        self.store_watch.record_users(&self.view, lease, self.now);
         self.handle_vm_list(vms);
         for (version, entry) in &entries {
             self.members.apply_entry(*version, entry, self.now);
