--- a/components/kernel/src/handover/proof.rs
+++ b/components/kernel/src/handover/proof.rs
@@ -13,7 +13,7 @@
 use crate::{leader, position, time};
 
 /// Number of known instances from which on none is thought to be missing.
-const COMPLETE_COUNT: usize = 3;
+pub(super) const COMPLETE_COUNT: usize = 3;
 /// Time after which more than half of the instances are enough. Live instances have
 /// registered again by then, and a replaced leader that reaches the new one has stepped
 /// down.
--- a/components/kernel/src/handover/synchronous.rs
+++ b/components/kernel/src/handover/synchronous.rs
@@ -15,7 +15,7 @@
 use config::Name;
 
 use super::{
-    CLOSE_PERIOD, Context, Note, Step, acknowledged,
+    CLOSE_PERIOD, Context, Note, Step, acknowledged, proof,
     stage::{self, Attempt, Pauses, Stage},
 };
 use crate::{position, replica_set, time};
@@ -151,25 +151,28 @@
     let others = members(replicas, context);
     let others = others.into_iter().filter(|name| old_leader != Some(*name));
     let mut missing: Vec<_> = others.filter(|name| !is_whole(name)).cloned().collect();
+    if let Some(lsn) = attempt.acknowledged {
+        // Others that may answer at once may be nearer to the callers.
+        let may_answer = |name: &Name| {
+            let is_asked = old_leader != Some(name) && !paused.contains_key(name);
+            is_asked && !context.group.is_unreachable(name)
+        };
+        let waits = context.now.since(since) < stage::PAUSE_TIMEOUT
+            && context.group.instances.keys().any(may_answer);
+        if !waits && reached >= Some(lsn) {
+            return Proof::Reached(lsn);
+        }
+        missing.extend(old_leader.cloned());
+        return Proof::Missing(missing);
+    }
     // Without a commit of the recorded term, those of the former ones may be at its leader alone.
     let is_reached = |lsn: &position::Lsn| *lsn >= start.lsn.max(least);
-    if replicas.is_some()
+    if is_complete(replicas, context)
         && missing.is_empty()
         && let Some(lsn) = reached.filter(is_reached)
     {
         return Proof::Reached(lsn);
     }
-    let may_answer = |name: &&Name| {
-        let is_asked = old_leader != Some(*name) && !paused.contains_key(*name);
-        is_asked && !context.group.is_unreachable(name)
-    };
-    let waits = context.now.since(since) < stage::PAUSE_TIMEOUT
-        && context.group.instances.keys().any(|name| may_answer(&name));
-    if let Some(lsn) = attempt.acknowledged.filter(|_| !waits)
-        && reached >= Some(lsn)
-    {
-        return Proof::Reached(lsn);
-    }
     missing.extend(old_leader.cloned());
     Proof::Missing(missing)
 }
@@ -198,7 +201,7 @@
         !stated.is_some_and(|stated| is_whole(name, *stated, replicas, context))
     });
     let missing: Vec<_> = missing.cloned().collect();
-    if missing.is_empty() && replicas.is_some() {
+    if missing.is_empty() && is_complete(replicas, context) {
         Proof::Floor(highest)
     } else {
         Proof::Missing(missing)
@@ -215,19 +218,24 @@
     context.group.instances.keys().chain(stored).collect()
 }
 
+/// Whether the members are all instances that there are.
+fn is_complete(replicas: Option<&replica_set::ReplicaSet>, context: &Context<'_>) -> bool {
+    replicas.is_some() || context.group.instances.len() >= proof::COMPLETE_COUNT
+}
+
 /// Whether the stated position of an instance covers all that it has ever had.
 ///
-/// No instance receives anything while the group has no leader. So one that has started again
-/// meanwhile, and has a part of the log of the recorded term, has kept its log.
+/// The answer may come from a process that has started again, whatever its entry says. No instance
+/// receives anything while the group has no leader, so one that has started meanwhile, and has
+/// the start of the recorded term, has kept its log.
 fn is_whole(
     name: &Name,
     stated: position::Position,
     replicas: Option<&replica_set::ReplicaSet>,
     context: &Context<'_>,
 ) -> bool {
-    let born = context.view.registration(name).map(|entry| entry.born);
     let has_log = stated >= stage::recorded_start(context) && stated.lsn > position::Lsn(0);
-    replicas.map_or(has_log, |replicas| replicas.is_whole(name, born, has_log))
+    replicas.map_or(has_log, |replicas| replicas.is_whole(name, has_log))
 }
 
 fn position_of(status: &position::Status) -> position::Position {
--- a/components/kernel/src/replica_set.rs
+++ b/components/kernel/src/replica_set.rs
@@ -93,11 +93,10 @@
         promoted
     }
 
-    /// Whether an instance that states its position, and whose process has started at `born`,
-    /// has all that it has ever had.
-    pub fn is_whole(&self, name: &Name, born: Option<u64>, has_log: bool) -> bool {
-        let is_whole =
-            |replica: &Replica| replica.caught_up && (has_log || born == Some(replica.born));
+    /// Whether an instance has all that it has ever had, if its process has the log of the
+    /// recorded term from its start on, or not.
+    pub fn is_whole(&self, name: &Name, has_log: bool) -> bool {
+        let is_whole = |replica: &Replica| replica.caught_up && has_log;
         self.0.get(name).is_none_or(is_whole)
     }
 }
--- a/components/kernel/tests/delay_queue/mod.rs
+++ b/components/kernel/tests/delay_queue/mod.rs
@@ -27,6 +27,12 @@
         self.entries.insert((now + delay, self.last_sequence), item);
     }
 
+    /// Removes the items that do not meet a condition.
+    #[allow(dead_code)]
+    pub fn retain(&mut self, mut is_kept: impl FnMut(&T) -> bool) {
+        self.entries.retain(|_, item| is_kept(item));
+    }
+
     /// Removes and returns the first item that is due.
     pub fn pop_due(&mut self, now: time::Time) -> Option<T> {
         let entry = self.entries.first_entry()?;
--- a/components/kernel/tests/synchronous.rs
+++ b/components/kernel/tests/synchronous.rs
@@ -395,7 +395,11 @@
         }
         sim.write_for(1000);
         come_back(&mut sim, 1, false);
-        sim.write_for(8000);
+        // The store still has the entry of its former process for a while.
+        sim.instances[1].started -= 1;
+        sim.write_for(2000);
+        sim.instances[1].started += 1;
+        sim.write_for(6000);
         assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
         sim.instances[2].replication_cut = false;
         come_back(&mut sim, 0, true);
