--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -588,13 +588,15 @@
         let daemon = Daemon::new(self.setups[vm].clone(), self.local_time(vm));
         self.daemons[vm] = daemon.expect("the policies are known");
         self.forget_reads(vm);
-        // Answers to the former process, dated by its clock, do not reach the new one.
+        // Answers to the former process do not reach the new one.
         let requests = &self.requests;
         self.statements_sent
             .retain(|id, _| requests.get(id).is_none_or(|(sender, _)| *sender != vm));
         self.deliveries.retain(|delivery| match delivery {
             Delivery::Poll(sender, _, _) => *sender != vm,
-            Delivery::Event(receiver, event::Event::PollAnswered(_)) => *receiver != vm,
+            Delivery::Event(receiver, event) => {
+                *receiver != vm || matches!(event, event::Event::MessageReceived(..))
+            }
             _ => true,
         });
         self.dead.remove(&vm);
