The replica set decides before the position that was acknowledged

Cause: the position that a VM states as acknowledged is the one that the leader had with its answer. It includes commits of other writers that no replica has received yet, so it is an upper bound. A candidate that had every acknowledged commit stayed below it for ever, and the proof by the replica set wasn't looked at.

Change: the proof by the replica set comes first, the bound after it. Alone that would lose commits: an instance that has left the set as lost, comes back during an outage of the store and is the only replica to receive commits was passed over. So the set proves only with entries that were read after all live instances have had the time to register since the last failed read or the start of the process.

Tests: commits_that_nobody_acknowledged_are_not_waited_for fails before; an_instance_that_came_back_during_an_outage_is_waited_for plays both times away, the long one fails with the first half of the change alone.

Ruled out: a wait for three seconds in each replacement under several writers; positions of single commits from the leader, which the protocol doesn't have.

--- a/components/kernel/src/daemon.rs
+++ b/components/kernel/src/daemon.rs
@@ -129,7 +129,7 @@
             budgets: budget::Budgets::new(members.own_member(), sharing, has_dedicated_polls),
             view: view::View::default(),
             store_watch: crate::store_watch::State::default(),
-            view_sync: view_sync::State::default(),
+            view_sync: view_sync::State::new(now),
             evacuations: evacuation::State::default(),
             arbiter,
             members,
--- a/components/kernel/src/handover/mod.rs
+++ b/components/kernel/src/handover/mod.rs
@@ -112,6 +112,9 @@
     pub acknowledged: position::Position,
     /// Time from which on every process that may acknowledge commits has been listed.
     pub users_known: Option<time::Time>,
+    /// Whether all live instances have had the time to register since the store was last out
+    /// of reach.
+    pub has_all_entries: bool,
     /// Version that the store has of the row. It is older than the known one if the
     /// store came back from an older copy.
     pub stored_version: u64,
--- a/components/kernel/src/handover/synchronous.rs
+++ b/components/kernel/src/handover/synchronous.rs
@@ -151,28 +151,26 @@
     let others = members(replicas, context);
     let others = others.into_iter().filter(|name| old_leader != Some(*name));
     let mut missing: Vec<_> = others.filter(|name| !is_whole(name)).cloned().collect();
-    if let Some(lsn) = attempt.acknowledged {
-        // Others that may answer at once may be nearer to the callers.
-        let may_answer = |name: &Name| {
-            let is_asked = old_leader != Some(name) && !paused.contains_key(name);
-            is_asked && !context.group.is_unreachable(name)
-        };
-        let waits = context.now.since(since) < stage::PAUSE_TIMEOUT
-            && context.group.instances.keys().any(may_answer);
-        if !waits && reached >= Some(lsn) {
-            return Proof::Reached(lsn);
-        }
-        missing.extend(old_leader.cloned());
-        return Proof::Missing(missing);
-    }
     // Without a commit of the recorded term, those of the former ones may be at its leader alone.
-    let is_reached = |lsn: &position::Lsn| *lsn >= start.lsn.max(least);
+    let is_reached = |lsn: &position::Lsn| *lsn >= start.lsn;
     if is_complete(replicas, context)
         && missing.is_empty()
         && let Some(lsn) = reached.filter(is_reached)
     {
         return Proof::Reached(lsn);
     }
+    // Others that may answer at once may be nearer to the callers.
+    let may_answer = |name: &Name| {
+        let is_asked = old_leader != Some(name) && !paused.contains_key(name);
+        is_asked && !context.group.is_unreachable(name)
+    };
+    let waits = context.now.since(since) < stage::PAUSE_TIMEOUT
+        && context.group.instances.keys().any(may_answer);
+    if let Some(lsn) = attempt.acknowledged.filter(|_| !waits)
+        && reached >= Some(lsn)
+    {
+        return Proof::Reached(lsn);
+    }
     missing.extend(old_leader.cloned());
     Proof::Missing(missing)
 }
@@ -220,7 +218,8 @@
 
 /// Whether the members are all instances that there are.
 fn is_complete(replicas: Option<&replica_set::ReplicaSet>, context: &Context<'_>) -> bool {
-    replicas.is_some() || context.group.instances.len() >= proof::COMPLETE_COUNT
+    let is_counted = context.group.instances.len() >= proof::COMPLETE_COUNT;
+    context.has_all_entries && (replicas.is_some() || is_counted)
 }
 
 /// Whether the stated position of an instance covers all that it has ever had.
--- a/components/kernel/src/replacement.rs
+++ b/components/kernel/src/replacement.rs
@@ -28,6 +28,8 @@
             own,
             rank: rank.unwrap_or(voters.len()),
             users_known: self.store_watch.users_known(),
+            has_all_entries: self.view.proven_at(view::Part::Instances)
+                >= Some(self.view_sync.entries_known()),
             rows_version: self
                 .view
                 .known_version(view::Part::Rows)
--- a/components/kernel/src/replica_set.rs
+++ b/components/kernel/src/replica_set.rs
@@ -218,7 +218,7 @@
     /// which on no other instance can have been missed. Asks those that are not known to.
     fn have_caught_up(&mut self, group: &Name, leader: &Name) -> bool {
         let now = self.now;
-        let failed_at = self.view_sync.last_failure();
+        let entries_known = self.view_sync.entries_known();
         let Some(state) = self.groups.get_mut(group) else {
             return false;
         };
@@ -227,7 +227,7 @@
         };
         let mut since = change.since;
         if change.lacks_entries() {
-            since = since.max(failed_at.unwrap_or_default()) + group::REGISTRATION_TIME;
+            since = entries_known.max(since + group::REGISTRATION_TIME);
             if self.view.proven_at(view::Part::Instances) < Some(since) {
                 return false;
             }
--- a/components/kernel/src/view_sync.rs
+++ b/components/kernel/src/view_sync.rs
@@ -70,14 +70,22 @@
     reads: collections::BTreeMap<view::Part, Reads>,
     /// When the first read of the store succeeded.
     first_answer: Option<time::Time>,
-    /// When a read of the store last failed.
-    last_failure: Option<time::Time>,
+    /// When a read of the store last failed, or this daemon started.
+    last_failure: time::Time,
 }
 
 impl State {
-    /// When a read of the store by this VM last failed.
-    pub(crate) fn last_failure(&self) -> Option<time::Time> {
-        self.last_failure
+    pub(crate) fn new(now: time::Time) -> Self {
+        Self {
+            last_failure: now,
+            ..Self::default()
+        }
+    }
+
+    /// Time from which on every live instance has registered, as far as this VM knows of
+    /// outages of the store.
+    pub(crate) fn entries_known(&self) -> time::Time {
+        self.last_failure + group::REGISTRATION_TIME
     }
 }
 
@@ -208,7 +216,7 @@
         if read.failed {
             reads.failures = reads.failures.saturating_add(1);
             reads.next_at = self.now + pause;
-            self.view_sync.last_failure = Some(self.now);
+            self.view_sync.last_failure = self.now;
         } else {
             reads.failures = 0;
             reads.next_at = read.sent + pause;
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -207,7 +207,8 @@
         self.dispatch(vm, event::Event::PositionObserved(observed));
         let acknowledged = self.acknowledged.len();
         let outcome = if is_write {
-            event::RequestOutcome::Committed(Some(status))
+            let received = position::Lsn(status.received.0 + self.unreplicated);
+            event::RequestOutcome::Committed(Some(position::Status { received, ..status }))
         } else {
             event::RequestOutcome::Uncommitted
         };
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -126,6 +126,8 @@
     pub promotion_orders: Vec<(u64, usize)>,
     /// VMs that ordered a promotion, with their fencing tokens.
     order_senders: Vec<(usize, u64)>,
+    /// Commits that the leader has beside one that it answers, and no replica has received.
+    pub unreplicated: u64,
     /// Number of further promotion orders whose answers are lost.
     pub lose_orders: usize,
     /// VMs whose promotion orders take longer to reach the platform, with the time.
@@ -431,6 +433,7 @@
             instances: (0..3).map(fake).collect(),
             promotion_orders: Vec::new(),
             order_senders: Vec::new(),
+            unreplicated: 0,
             lose_orders: 0,
             order_delays: collections::BTreeMap::new(),
             violations: Vec::new(),
--- a/components/kernel/tests/synchronous.rs
+++ b/components/kernel/tests/synchronous.rs
@@ -298,6 +298,23 @@
 /// Time until writes are served after an instance with every commit has registered.
 const RETURN_TIME: u64 = 1500;
 
+// Guards against a wait for the old leader because of commits that it had when it answered
+// another one, and that were not acknowledged.
+#[test]
+fn commits_that_nobody_acknowledged_are_not_waited_for() {
+    let mut sim = Simulation::new(&Options {
+        is_synchronous: true,
+        ..Options::default()
+    });
+    sim.write_for(9000);
+    sim.unreplicated = 3;
+    write_once(&mut sim);
+    crash(&mut sim, 0);
+    sim.write_for(1000);
+    sim.unreplicated = 0;
+    assert_served_within(&mut sim, RETURN_TIME);
+}
+
 // Guards against the promotion of a replica that is behind by less than the positions lie apart
 // that were noted of the leader, once the entries of the instances that crashed have expired.
 #[test]
@@ -321,32 +338,34 @@
 // in which an instance came back and received commits.
 #[test]
 fn an_instance_that_came_back_during_an_outage_is_waited_for() {
-    let mut sim = Simulation::new(&Options {
-        is_synchronous: true,
-        lease_ms: 4200,
-        ..Options::default()
-    });
-    sim.write_for(9000);
-    crash(&mut sim, 1);
-    sim.write_for(ENTRY_TIME);
-    sim.lapsed_entries.insert(1);
-    sim.write_for(3200);
-    sim.cut_store.extend(0..3);
-    sim.write_for(500);
-    come_back(&mut sim, 1, true);
-    sim.lapsed_entries.insert(1);
-    sim.write_for(2000);
-    sim.instances[2].replication_cut = true;
-    sim.write_for(50);
-    crash(&mut sim, 0);
-    sim.write_for(1000);
-    sim.cut_store.clear();
-    sim.write_for(800);
-    assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
-    sim.instances[2].replication_cut = false;
-    sim.lapsed_entries.remove(&1);
-    assert_served_within(&mut sim, RETURN_TIME);
-    assert_eq!(sim.leader(), Some(1), "{:?}", sim.decisions);
+    for away_for in [3200, 15_000] {
+        let mut sim = Simulation::new(&Options {
+            is_synchronous: true,
+            lease_ms: 4200,
+            ..Options::default()
+        });
+        sim.write_for(9000);
+        crash(&mut sim, 1);
+        sim.write_for(ENTRY_TIME);
+        sim.lapsed_entries.insert(1);
+        sim.write_for(away_for);
+        sim.cut_store.extend(0..3);
+        sim.write_for(500);
+        come_back(&mut sim, 1, true);
+        sim.lapsed_entries.insert(1);
+        sim.write_for(2000);
+        sim.instances[2].replication_cut = true;
+        sim.write_for(50);
+        crash(&mut sim, 0);
+        sim.write_for(1000);
+        sim.cut_store.clear();
+        sim.write_for(800);
+        assert_eq!(sim.promotion_orders, [], "{:?}", sim.decisions);
+        sim.instances[2].replication_cut = false;
+        sim.lapsed_entries.remove(&1);
+        assert_served_within(&mut sim, RETURN_TIME);
+        assert_eq!(sim.leader(), Some(1), "{:?}", sim.decisions);
+    }
 }
 
 // Guards against processes that start while instances are away, and know nothing of those:
