Simulation: commits in flight beside an answered one

The leader has them and the replicas get them with the next commit, so that its log goes with the position that its answer states. Before, the position was stated and the log lacked it.

--- a/components/kernel/tests/series.rs
+++ b/components/kernel/tests/series.rs
@@ -265,10 +265,12 @@
     leader.is_some_and(|leader| leader != instance)
 }
 
-/// Plays a series in which entries expire; returns what went wrong.
-fn play_entries(seed: u64, is_synchronous: bool) -> Result<(), String> {
+/// Plays a series in which entries expire, with commits of others beside each one that is
+/// answered; returns what went wrong.
+fn play_entries(seed: u64, is_synchronous: bool, unreplicated: u64) -> Result<(), String> {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut sim = new_simulation(is_synchronous);
+    sim.unreplicated = unreplicated;
     let mut entries = Entries::default();
     entries.write_for(&mut sim, random.random_range(0..10) * 1000);
     for _ in 0..12 {
@@ -333,10 +335,15 @@
 
 #[test]
 fn a_group_outlasts_series_of_expired_entries() {
-    play_all(&ENTRY_SEEDS, |seed| play_entries(seed, false));
+    play_all(&ENTRY_SEEDS, |seed| play_entries(seed, false, 0));
 }
 
 #[test]
 fn a_synchronous_group_outlasts_series_of_expired_entries() {
-    play_all(&ENTRY_SEEDS, |seed| play_entries(seed, true));
+    play_all(&ENTRY_SEEDS, |seed| play_entries(seed, true, 0));
+}
+
+#[test]
+fn a_synchronous_group_outlasts_expired_entries_beside_commits_in_flight() {
+    play_all(&ENTRY_SEEDS, |seed| play_entries(seed, true, 2));
 }
--- a/components/kernel/tests/store_arbiter/callers.rs
+++ b/components/kernel/tests/store_arbiter/callers.rs
@@ -207,6 +207,7 @@
         self.dispatch(vm, event::Event::PositionObserved(observed));
         let acknowledged = self.acknowledged.len();
         let outcome = if is_write {
+            self.instances[instance].received += self.unreplicated;
             let received = position::Lsn(status.received.0 + self.unreplicated);
             event::RequestOutcome::Committed(Some(position::Status { received, ..status }))
         } else {
--- a/components/kernel/tests/store_arbiter/mod.rs
+++ b/components/kernel/tests/store_arbiter/mod.rs
@@ -126,7 +126,8 @@
     pub promotion_orders: Vec<(u64, usize)>,
     /// VMs that ordered a promotion, with their fencing tokens.
     order_senders: Vec<(usize, u64)>,
-    /// Commits that the leader has beside one that it answers, and no replica has received.
+    /// Commits of others that the leader has beside one that it answers, which it sends to the
+    /// replicas with the next commit.
     pub unreplicated: u64,
     /// Number of further promotion orders whose answers are lost.
     pub lose_orders: usize,
@@ -530,11 +531,17 @@
         let Some(source) = leader.max_by_key(|i| i.term).cloned() else {
             return;
         };
+        let sent = source.received.saturating_sub(self.unreplicated);
         for fake in &mut self.instances {
             let is_following = fake.is_alive && !fake.replication_paused && !fake.replication_cut;
             if is_following && fake.term <= source.term && fake.role == position::Role::Replica {
+                let is_of_term = fake.term == source.term;
                 fake.term = source.term;
-                fake.received = source.received;
+                fake.received = if is_of_term {
+                    fake.received.max(sent)
+                } else {
+                    sent
+                };
             }
         }
     }
