--- a/components/kernel/src/handover/acknowledged.rs
+++ b/components/kernel/src/handover/acknowledged.rs
@@ -4,7 +4,8 @@
 //! processes that may have used the old leader have stopped, and have stated the highest position
 //! that they acknowledged, an instance that has this position has every acknowledged commit,
 //! whatever has become of the others. What processes that have ended acknowledged is at or below
-//! any position that the leader had reached afterwards.
+//! any position that the leader had reached afterwards. The position is an upper bound: it is
+//! that of the leader's log with the answer to a commit, beside which others may be under way.
 //!
 //! The position is added to the row of the claim if no candidate has it, so that it outlasts
 //! the processes. It holds until the row names a leader again.
--- a/components/kernel/src/handover/synchronous.rs
+++ b/components/kernel/src/handover/synchronous.rs
@@ -2,13 +2,13 @@
 //! has received it.
 //!
 //! An acknowledged commit is at the leader of its term and at one replica or more. A candidate
-//! is proved to have every one of them in three cases: it has the position up to which the VMs
-//! have acknowledged commits (`acknowledged.rs`); or all other members of the replica set
-//! (`replica_set.rs`) have stated their positions, and none has more; or the old leader
-//! has stated its position, which no longer changes, and the candidate has as much, or is the
-//! old leader itself. While none of them holds, the group has no leader. An old leader that
-//! answers again is asked to step down, so that it can be promoted; in a planned replacement
-//! it goes on.
+//! is proved to have every one of them in three cases: the old leader has stated its position,
+//! which no longer changes, and the candidate has as much, or is the old leader itself; or all
+//! other members of the replica set (`replica_set.rs`) have stated their positions, and none has
+//! more; or it has the position up to which the VMs have acknowledged commits
+//! (`acknowledged.rs`), which may include commits that nobody acknowledged and only the
+//! old leader had. While none of them holds, the group has no leader. An old leader that answers
+//! again is asked to step down, so that it can be promoted; in a planned replacement it goes on.
 
 use std::collections;
 
